Build the real doorman round the module: HTTP front, engine, depot client, change log

The settings type gains three fields that the sockets need (idle time, open requests, load reports).

--- a/aldershed/adapter.py
+++ b/aldershed/adapter.py
@@ -112,6 +112,8 @@
         purge_done=_number(facts, "goneEverywhere"), flow_kb_s=_number(facts, "clientKbPerS"),
         direct=facts.get("passThroughOk") is True, joins=facts.get("sharesFills") is True,
         siblings="" if siblings == "off" else siblings, tells="" if tells == "off" else tells,
+        most_held=int(_number(caps, "mostHeld")), conn_idle=_number(caps, "idleClose"),
+        reports=_text(_dict(config, "loadReport"), "how") == "inline",
     )
 
 
--- a/aldershed/interface.py
+++ b/aldershed/interface.py
@@ -63,6 +63,9 @@
     joins: bool = False
     siblings: str = ""  # which caches can supply a fill: "location", "any", or ""
     tells: str = ""  # what outcomes tell: "all", "hit", or ""
+    most_held: int = 0  # open requests that an instance may hold
+    conn_idle: float = 0.0  # idle connections to stores are closed after this
+    reports: bool = False  # answers carry load reports
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/beechslip/__init__.py
@@ -0,0 +1,1 @@
+"""beechslip: a doorman that routes requests to caches by the decisions of ``aldershed``."""
--- /dev/null
+++ b/beechslip/clock.py
@@ -0,0 +1,77 @@
+"""Time: milliseconds as floating-point numbers, from one clock that tests can set.
+
+The decision module counts in seconds; ``to_seconds`` and ``to_ms`` are the only place of conversion.
+"""
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+
+def to_seconds(ms: float) -> float:
+    return ms / 1000.0
+
+
+def to_ms(seconds: float) -> float:
+    return seconds * 1000.0
+
+
+class Alarm(Protocol):
+    """A call that is due later and can be called off."""
+
+    def cancel(self) -> None: ...
+
+
+class Clock(Protocol):
+    """The time of day in Unix milliseconds, and calls at a later time."""
+
+    def now_ms(self) -> float: ...
+
+    def call_later(self, delay_ms: float, call: Callable[[], None]) -> Alarm: ...
+
+
+class SystemClock:
+    """The system's Unix clock; alarms run on the event loop."""
+
+    def now_ms(self) -> float:
+        return time.time() * 1000.0
+
+    def call_later(self, delay_ms: float, call: Callable[[], None]) -> Alarm:
+        return asyncio.get_running_loop().call_later(max(delay_ms, 0.0) / 1000.0, call)
+
+
+class _SetAlarm:
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call: Callable[[], None] | None = call
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class ManualClock:
+    """A clock that stands still until it is set; alarms run as it passes them."""
+
+    def __init__(self, now_ms: float = 1_764_576_000_000.0) -> None:
+        self._now = now_ms
+        self._alarms: list[tuple[float, int, _SetAlarm]] = []
+        self._order = itertools.count()
+
+    def now_ms(self) -> float:
+        return self._now
+
+    def call_later(self, delay_ms: float, call: Callable[[], None]) -> Alarm:
+        alarm = _SetAlarm(call)
+        heapq.heappush(self._alarms, (self._now + max(delay_ms, 0.0), next(self._order), alarm))
+        return alarm
+
+    def advance(self, ms: float) -> None:
+        end = self._now + ms
+        while self._alarms and self._alarms[0][0] <= end:
+            self._now, _, alarm = heapq.heappop(self._alarms)
+            if alarm.call is not None:
+                alarm.call()
+        self._now = end
--- /dev/null
+++ b/beechslip/core/__init__.py
@@ -0,0 +1,1 @@
+"""The core: requests, attempts and outcomes; it knows no wire."""
--- /dev/null
+++ b/beechslip/core/engine.py
@@ -0,0 +1,392 @@
+"""The engine: one task that owns the decision module, the open requests and their attempts.
+
+Everything reaches it through its queue; what the module decides goes out through the two protocols of
+``model``. It decides nothing itself. It keeps what must hold whatever the module does: one final answer
+to each request and in time, one attempt at a time, no more attempts than permitted, and nothing new to
+or through a depot that drains.
+"""
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+from aldershed import interface as i
+from beechslip.clock import Alarm, Clock, to_ms, to_seconds
+from beechslip.core.model import (
+    PROVEN_UNRUN,
+    Answerer,
+    Call,
+    Carrier,
+    ClientLeft,
+    Depot,
+    Ended,
+    Final,
+    Listing,
+    Order,
+    Prober,
+    Purged,
+    Result,
+    Taken,
+)
+from beechslip.counters import Counters
+
+log = logging.getLogger("beechslip.engine")
+
+# The module gives up this long before the client does, so that its last answer is still written in time;
+# what it leaves unanswered the engine ends at the second margin.
+MARGIN_MS, LAST_MARGIN_MS = 30.0, 12.0
+URGENT, ORDINARY = 0, 1
+HELD_BY_DEFAULT = 20_000
+WINDOW_MARGIN_MS = 20.0  # a keyed repeat is written at least this long before its window ends
+
+
+class Module(Protocol):
+    """The decision module."""
+
+    def start(self, now: float) -> list[i.Action]: ...
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]: ...
+
+
+class Open:
+    """A request that awaits its final answer."""
+
+    __slots__ = ("alarm", "answerer", "attempts", "call", "carrier", "deadline_ms", "flight", "risk_ms")
+
+    def __init__(self, taken: Taken) -> None:
+        self.call: Call = taken.call
+        self.carrier: Carrier = taken.carrier
+        self.answerer: Answerer = taken.answerer
+        margin = min(MARGIN_MS, self.call.wait_ms / 4.0)
+        self.deadline_ms = self.call.arrived_ms + self.call.wait_ms - margin
+        self.attempts = 0
+        self.flight: Flight | None = None
+        self.risk_ms: float | None = None  # when the first attempt that may have run was sent
+        self.alarm: Alarm | None = None
+
+
+class Flight:
+    """An attempt that is out: the engine gives back its task and its alarm when it has ended."""
+
+    __slots__ = ("alarm", "order", "sent_ms", "stopped", "task")
+
+    def __init__(self, order: Order, sent_ms: float) -> None:
+        self.order, self.sent_ms = order, sent_ms
+        self.stopped: Result | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.alarm: Alarm | None = None
+
+    def stop(self, result: Result) -> None:
+        if self.stopped is None:
+            self.stopped = result
+            if self.task is not None:
+                self.task.cancel()
+
+
+class _Finished:
+    __slots__ = ("ended", "flight")
+
+    def __init__(self, flight: Flight, ended: Ended) -> None:
+        self.flight, self.ended = flight, ended
+
+
+class Engine:
+    """Owns the module. ``post`` is the one way in."""
+
+    def __init__(self, settings: i.Settings, module: Module, clock: Clock, prober: Prober,
+                 counters: Counters) -> None:
+        self.settings, self.clock, self.counters = settings, clock, counters
+        self._module, self._prober = module, prober
+        self._queue: asyncio.PriorityQueue[tuple[int, int, object]] = asyncio.PriorityQueue()
+        self._order = itertools.count()
+        self._open: dict[str, Open] = {}
+        self._flights: dict[tuple[str, int], Flight] = {}
+        self._depots: dict[str, Depot] = {}
+        self._probes: set[asyncio.Task[None]] = set()
+        self._last_s = 0.0
+        self.listed = asyncio.Event()  # set once a whole list has been applied
+        self.quiet = asyncio.Event()  # set while no request is open
+        self.quiet.set()
+
+    def post(self, message: object) -> None:
+        """Queue a message. Purges and list changes overtake queued requests, as rules count from them."""
+        urgent = isinstance(message, (Listing, Purged))
+        self._queue.put_nowait((URGENT if urgent else ORDINARY, next(self._order), message))
+
+    async def run(self) -> None:
+        """Handle messages until cancelled; then end what is out."""
+        try:
+            self._act(None, lambda now: self._module.start(now))
+            while True:
+                _, _, message = await self._queue.get()
+                self.step(message)
+        finally:
+            out = [flight.task for flight in self._flights.values() if flight.task] + list(self._probes)
+            for task in out:
+                task.cancel()
+            await asyncio.gather(*out, return_exceptions=True)
+
+    def step(self, message: object) -> None:
+        try:
+            match message:
+                case Taken():
+                    self._on_taken(message)
+                case _Finished():
+                    self._on_finished(message.flight, message.ended)
+                case ClientLeft():
+                    self._on_left(message)
+                case Listing():
+                    self._on_listing(message)
+                case Purged():
+                    self._on_purged(message)
+                case i.Timer() | i.ProbeResult():
+                    self._give(None, message)
+                case Open():
+                    self._on_last_moment(message)
+        except Exception:
+            # Guards against an engine task that dies of one bad message and leaves all requests unanswered.
+            self.counters.add("fault.engine")
+            log.exception("engine: %s", type(message).__name__)
+
+    # The module -----------------------------------------------------------------------------------
+
+    def _give(self, request: str | None, event: i.Event) -> None:
+        self._act(request, lambda now: self._module.handle(now, event))
+
+    def _act(self, request: str | None, ask: Callable[[float], list[i.Action]]) -> None:
+        """Ask the module, and carry out what it says; if it raises, the request concerned has failed.
+
+        Requests that the module may have forgotten by that end at their last moment.
+        """
+        self._last_s = max(self._last_s, to_seconds(self.clock.now_ms()))  # the system's clock may step back
+        try:
+            actions = ask(self._last_s)
+        except Exception:
+            self.counters.add("fault.module")
+            log.exception("module: request %s", request)
+            opened = self._open.get(request) if request else None
+            if opened is not None:
+                self._close(opened, Final("failed", cause="fault"))
+                self._forget(opened)
+            return
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: i.Action) -> None:
+        match action:
+            case i.Attempt():
+                self._attempt(action)
+            case i.SetTimer():
+                event = i.Timer(action.token)
+                self.clock.call_later(to_ms(action.delay), lambda: self.post(event))
+            case i.Refuse():
+                opened = self._open.get(action.request)
+                if opened is not None:
+                    self._close(opened, Final("refused", retry_after_ms=to_ms(action.retry_after)))
+            case i.Fail():
+                opened = self._open.get(action.request)
+                if opened is not None:
+                    late = self.clock.now_ms() >= opened.deadline_ms - 1.0
+                    self._close(opened, Final("failed", cause="deadline" if late else ""))
+            case i.Cancel():
+                flight = self._flights.get((action.request, action.attempt))
+                if flight is not None:
+                    flight.stop("cancelled")
+            case i.Probe():
+                task = asyncio.get_running_loop().create_task(self._probe(action.store))
+                self._probes.add(task)
+                task.add_done_callback(self._probes.discard)
+            case i.Log():
+                log.info("module: %s", action.text)
+
+    # Requests -------------------------------------------------------------------------------------
+
+    def _on_taken(self, taken: Taken) -> None:
+        call, opened = taken.call, Open(taken)
+        self.counters.add("taken")
+        if call.id in self._open or (call.id, 0) in self._flights:
+            # Two open requests of one id would share attempts, and one answer would be lost.
+            self._answer(opened, Final("failed", cause="duplicate"))
+            return
+        if len(self._open) >= (self.settings.most_held or HELD_BY_DEFAULT):
+            self._answer(opened, Final("refused", retry_after_ms=to_ms(self.settings.max_retry_after)))
+            return
+        self._open[call.id] = opened
+        self.quiet.clear()
+        now = self.clock.now_ms()
+        last = max(call.arrived_ms + call.wait_ms - LAST_MARGIN_MS, opened.deadline_ms) - now
+        opened.alarm = self.clock.call_later(last, lambda: self.post(opened))
+        self._give(call.id, i.Request(
+            request=call.id, class_name=call.class_name, object=call.object, part=call.part, group=call.group,
+            size_kb=call.size_kb, time_left=to_seconds(opened.deadline_ms - now),
+        ))
+
+    def _on_last_moment(self, opened: Open) -> None:
+        """The module has left a request open to its end: answer it, so that none is lost."""
+        if self._open.get(opened.call.id) is not opened:
+            return
+        self.counters.add("last_moment")
+        self._close(opened, Final("failed", cause="deadline"))
+        self._forget(opened)
+
+    def _on_left(self, left: ClientLeft) -> None:
+        opened = self._open.get(left.id)
+        if opened is None or opened.answerer is not left.answerer:
+            return
+        self.counters.add("left")
+        self._drop(opened)
+        self._forget(opened)
+
+    def _forget(self, opened: Open) -> None:
+        """Free the attempt of a request that has ended without the module's word, and tell the module."""
+        if opened.flight is not None:
+            opened.flight.stop("cancelled")
+        self._give(None, i.ClientGone(opened.call.id))
+
+    def _drop(self, opened: Open) -> None:
+        del self._open[opened.call.id]
+        if opened.alarm is not None:
+            opened.alarm.cancel()
+        if not self._open:
+            self.quiet.set()
+
+    def _close(self, opened: Open, final: Final) -> None:
+        """Give the one final answer."""
+        self._drop(opened)
+        self._answer(opened, final)
+        if opened.flight is not None:
+            opened.flight.stop("cancelled")
+
+    def _answer(self, opened: Open, final: Final) -> None:
+        self.counters.add(f"answered.{final.kind}")
+        if final.kind != "served":
+            call = opened.call
+            log.info("%s %s %s after %.0f of %.0f ms, attempts %d, retry %.0f %s", call.id, call.class_name,
+                     final.kind, self.clock.now_ms() - call.arrived_ms, call.wait_ms, opened.attempts,
+                     final.retry_after_ms, final.cause)
+        opened.answerer.answer(final)
+
+    # Attempts -------------------------------------------------------------------------------------
+
+    def _attempt(self, action: i.Attempt) -> None:
+        opened, depot = self._open.get(action.request), self._depots.get(action.store)
+        most = self.settings.max_attempts or 1_000
+        if opened is None:
+            # The request has ended and its number is not known here: what the module counts is enough.
+            self.counters.add("attempt.late")
+            return
+        number, opened.attempts = opened.attempts, opened.attempts + 1
+        busy = opened.flight is not None and not self.settings.second_copies
+        if depot is None or number >= most or busy:
+            self.post(_Finished(Flight(Order(opened.call, number, depot or Depot(action.store, ""), "", 0.0),
+                                       self.clock.now_ms()), Ended("moot")))
+            return
+        now = self.clock.now_ms()
+        timeout = min(to_ms(action.timeout) or opened.deadline_ms - now, opened.deadline_ms - now)
+        order = Order(
+            call=opened.call, number=number, depot=depot,
+            source="" if action.source == action.store else action.source, timeout_ms=timeout,
+            keep=action.keep, max_age_ms=to_ms(action.max_age), join=action.join, renew=action.renew,
+            held_only=action.held_only,
+        )
+        flight = opened.flight = self._flights[action.request, number] = Flight(order, now)
+        flight.alarm = self.clock.call_later(timeout, lambda: flight.stop("timeout"))
+        flight.task = asyncio.get_running_loop().create_task(self._fly(opened, flight))
+        self.counters.add("sent")
+
+    def _may_start(self, opened: Open, flight: Flight) -> bool:
+        """Asked right before the first byte: dialling takes time, and a drain may have been told since."""
+        order, now = flight.order, self.clock.now_ms()
+        depot = self._depots.get(order.depot.name)
+        source = self._depots.get(order.source)
+        if flight.stopped is not None or self._open.get(order.call.id) is not opened:
+            return False
+        if depot is None or depot.state != "ready" or depot.address != order.depot.address:
+            return False
+        if order.source and (source is None or source.state != "ready"):
+            return False
+        rule = self.settings.classes.get(order.call.class_name)
+        if opened.risk_ms is not None and rule is not None and rule.effect != "safe":
+            # A repeat of what may have run must reach its store while that still discards repeats.
+            return now < opened.risk_ms + to_ms(rule.window) - WINDOW_MARGIN_MS
+        return now < opened.deadline_ms
+
+    async def _fly(self, opened: Open, flight: Flight) -> None:
+        try:
+            ended = await opened.carrier.carry(flight.order, lambda: self._may_start(opened, flight))
+        except asyncio.CancelledError:
+            ended = Ended(flight.stopped or "cancelled")
+        except Exception:
+            # Guards against a request that hangs because its attempt's end was never told.
+            self.counters.add("fault.carrier")
+            log.exception("attempt %s/%d", flight.order.call.id, flight.order.number)
+            ended = Ended("error")
+        self.post(_Finished(flight, ended))
+
+    def _on_finished(self, flight: Flight, ended: Ended) -> None:
+        order, now = flight.order, self.clock.now_ms()
+        self._flights.pop((order.call.id, order.number), None)
+        if flight.alarm is not None:
+            flight.alarm.cancel()
+        self.counters.add(f"attempt.{ended.result}")
+        opened = self._open.get(order.call.id)
+        if opened is not None and opened.call is order.call:
+            if opened.flight is flight:
+                opened.flight = None
+            if ended.result == "handed_out":
+                self._close(opened, Final("served"))
+                self._give(None, i.ClientGone(order.call.id))
+            elif ended.result == "ok":
+                self._close(opened, Final("served", ended.payload))
+            elif ended.result not in PROVEN_UNRUN and opened.risk_ms is None:
+                opened.risk_ms = flight.sent_ms
+        else:
+            opened = None
+        outcome = i.Outcome(
+            request=order.call.id, attempt=order.number, store=order.depot.name, result=ended.result,
+            elapsed=to_seconds(now - flight.sent_ms), finished=opened is None or ended.result == "ok",
+            note=ended.note, report=ended.report,
+        )
+        if ended.result == "handed_out":
+            # "moot" is the end from which the module learns nothing.
+            moot = _Finished(flight, Ended("moot"))
+            self._flights[order.call.id, order.number] = flight
+            self.clock.call_later(ended.hold_ms, lambda: self.post(moot))
+            return
+        self._give(order.call.id, outcome)
+
+    # Depots ---------------------------------------------------------------------------------------
+
+    def _on_listing(self, listing: Listing) -> None:
+        if listing.kind != "changes":
+            self._depots.clear()
+        for depot in listing.depots:
+            if depot.state == "gone":
+                self._depots.pop(depot.name, None)
+            else:
+                self._depots[depot.name] = depot
+            log.info("depot %s %s %s %s %s since %.0f", depot.name, depot.address, depot.zone, depot.kind,
+                     depot.state, depot.started_ms)
+        self._give(None, i.StoreList(listing.kind, tuple(
+            i.StoreEntry(store=d.name, kind=d.kind, zone=d.zone, state=d.state, weight=d.weight, cell=d.cell,
+                         started=to_seconds(d.started_ms)) for d in listing.depots)))
+        if listing.kind != "changes":
+            self.listed.set()
+
+    def _on_purged(self, purged: Purged) -> None:
+        self.counters.add("purges")
+        age = max(self.clock.now_ms() - purged.time_ms, 0.0)
+        self._give(None, i.Purge(purged.object, purged.group, to_seconds(age)))
+
+    async def _probe(self, name: str) -> None:
+        depot, began = self._depots.get(name), self.clock.now_ms()
+        try:
+            ended = await self._prober.probe(depot) if depot else Ended("connect_failed")
+        except Exception:
+            log.exception("probe of %s", name)
+            ended = Ended("error")
+        self.counters.add(f"probe.{ended.result}")
+        self.post(i.ProbeResult(name, ended.result, to_seconds(self.clock.now_ms() - began), ended.report))
--- /dev/null
+++ b/beechslip/core/model.py
@@ -0,0 +1,151 @@
+"""What the core deals in: requests (calls), attempts (orders), their ends, and final answers.
+
+Times are milliseconds. A front hands in a ``Call`` with a ``Carrier`` that carries out its attempts and
+an ``Answerer`` that takes its one final answer.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Literal, Protocol
+
+Result = Literal["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "miss",
+                 "handed_out"]
+PROVEN_UNRUN: frozenset[Result] = frozenset({"full", "connect_failed", "moot", "miss"})
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A client's request."""
+
+    id: str
+    class_name: str
+    object: str
+    part: int = 0
+    group: int = 0
+    size_kb: float = 0.0
+    wait_ms: float = 0.0  # the client waits this long, counted from arrived_ms
+    arrived_ms: float = 0.0
+    write: bool = False
+    body: bytes = b""
+    token: str = ""  # idempotency key
+    tag: str = ""  # of the copy that the client holds
+
+
+@dataclass(frozen=True, slots=True)
+class Depot:
+    """A depot, parent or origin as the change log names it."""
+
+    name: str
+    address: str
+    kind: str = ""
+    zone: str = ""
+    state: str = "ready"  # "ready", "draining" or "gone"
+    weight: float = 0.0
+    cell: int = 0
+    started_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One attempt to be carried out."""
+
+    call: Call
+    number: int
+    depot: Depot
+    source: str  # the id of what fills a miss; "" for no fill
+    timeout_ms: float
+    keep: int = 0
+    max_age_ms: float = 0.0
+    join: bool = False
+    renew: bool = False
+    held_only: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Payload:
+    """What a depot gave: the bytes with their tag, or word that the client's copy is the one."""
+
+    body: bytes = b""
+    tag: str = ""
+    same: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How an attempt or a probe ended.
+
+    ``handed_out``: the client was sent to the depot and the request is served by that; the attempt
+    counts as in flight for ``hold_ms`` more, and nothing is learned from it.
+    """
+
+    result: Result
+    note: str = ""
+    report: dict[str, float] = field(default_factory=dict)
+    payload: Payload | None = None
+    hold_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Final:
+    """The final answer to a request."""
+
+    kind: Literal["served", "refused", "failed"]
+    payload: Payload | None = None
+    retry_after_ms: float = 0.0
+    cause: Literal["", "deadline", "duplicate", "fault"] = ""
+
+
+class Carrier(Protocol):
+    """Carries out attempts. A cancelled one has given back its connection once ``carry`` has ended."""
+
+    async def carry(self, order: Order, may_start: Callable[[], bool]) -> Ended:
+        """Ask ``may_start`` right before the first byte; False means that nothing may be sent."""
+        ...
+
+
+class Prober(Protocol):
+    """Checks the health of a depot."""
+
+    async def probe(self, depot: Depot) -> Ended: ...
+
+
+class Answerer(Protocol):
+    """Takes the one final answer to a request; never raises and never blocks."""
+
+    def answer(self, final: Final) -> None: ...
+
+
+# Messages to the engine ---------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    call: Call
+    carrier: Carrier
+    answerer: Answerer
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLeft:
+    """The client that this answerer speaks to has left."""
+
+    id: str
+    answerer: Answerer
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """News of the depots: the whole list, or what has changed in it."""
+
+    kind: Literal["all", "changes", "remembered"]
+    depots: tuple[Depot, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Purged:
+    """An object, or with no object a group, was purged at that time."""
+
+    object: str
+    group: int
+    time_ms: float
--- /dev/null
+++ b/beechslip/doorman.py
@@ -0,0 +1,97 @@
+"""One doorman: the parts put together, from the configuration to the last answer."""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import logging
+import signal
+import sys
+
+from aldershed.logic import Router
+from beechslip.clock import Clock, SystemClock
+from beechslip.config import Config, ConfigError, read_config
+from beechslip.core.engine import Engine
+from beechslip.counters import Counters
+from beechslip.platform.changelog import ChangeLog
+from beechslip.platform.depots import DepotClient
+from beechslip.platform.front import HttpFront
+from beechslip.platform.parse import BadEvent, parse_known
+
+log = logging.getLogger("beechslip")
+
+# After SIGTERM new connections keep coming for up to 0.4 s and requests on open ones for 0.2 s more.
+LINGER_S = 0.8
+
+
+class Doorman:
+    """Owns the parts; ``run`` starts them, serves until told to stop, and gives them back in turn."""
+
+    def __init__(self, config: Config, clock: Clock | None = None) -> None:
+        self.config, self.clock, self.counters = config, clock or SystemClock(), Counters()
+        self.stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        config, settings = self.config, self.config.settings
+        client = DepotClient(settings, config.sockets)
+        engine = Engine(settings, Router(settings, config.seed), self.clock, client, self.counters)
+        try:
+            last, news = parse_known(config.known)
+        except BadEvent as error:
+            raise ConfigError(f"known: {error}") from None
+        front = HttpFront(settings, self.clock, client, engine.post, self.counters)
+        tasks = [asyncio.create_task(engine.run())]
+        try:
+            for one in news:
+                engine.post(one)
+            if config.changelog is not None:
+                reader = ChangeLog(config.changelog, last, engine.post, self.counters)
+                tasks.append(asyncio.create_task(reader.run()))
+            # The list is known before /health answers, or the first requests would find no depot.
+            await engine.listed.wait()
+            await front.start(config.listen)
+            log.info("%s listens on %s", config.name, config.listen)
+            await self._serve(tasks)
+            await asyncio.sleep(LINGER_S)
+            await engine.quiet.wait()
+        finally:
+            await front.close()
+            for task in reversed(tasks):
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await client.close()
+            log.info("%s", self.counters.line())
+
+    async def _serve(self, tasks: list[asyncio.Task[None]]) -> None:
+        """Until told to stop; a part that ends by itself is a fault of the program."""
+        stop = asyncio.create_task(self.stopping.wait())
+        done, _ = await asyncio.wait([stop, *tasks], return_when=asyncio.FIRST_COMPLETED)
+        stop.cancel()
+        for task in done - {stop}:
+            task.result()
+
+
+async def _main(config: Config) -> None:
+    doorman, loop = Doorman(config), asyncio.get_running_loop()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, doorman.stopping.set)
+    loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("%s", doorman.counters.line()))
+    await doorman.run()
+
+
+def main() -> int:
+    """Run one doorman as the environment describes it."""
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(name)s %(message)s")
+    try:
+        config = read_config()
+    except ConfigError as error:
+        log.error("%s", error)
+        return 2
+    gc.freeze()  # what was loaded at the start is never looked through again
+    with contextlib.suppress(KeyboardInterrupt):
+        try:
+            asyncio.run(_main(config))
+        except ConfigError as error:
+            log.error("%s", error)
+            return 2
+    return 0
--- /dev/null
+++ b/beechslip/platform/front.py
@@ -0,0 +1,109 @@
+"""The HTTP front: clients' requests in, one answer out for each."""
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from aiohttp import web
+
+from aldershed.interface import Settings
+from beechslip.clock import Clock
+from beechslip.config import Address
+from beechslip.core.model import Carrier, ClientLeft, Final, Taken
+from beechslip.counters import Counters
+from beechslip.platform.parse import MOST_BODY, BadRequest, parse_call
+
+log = logging.getLogger("beechslip.front")
+
+IDLE_S = 20.0  # clients close after 4 s
+BODY_S = 10.0  # a body that takes longer is given up
+BACKLOG = 512
+STATUS = {"": 502, "deadline": 504, "duplicate": 409, "fault": 500}
+
+
+class HttpAnswerer:
+    """Waits for the final answer to one request."""
+
+    def __init__(self) -> None:
+        self.final: asyncio.Future[Final] = asyncio.get_running_loop().create_future()
+
+    def answer(self, final: Final) -> None:
+        if not self.final.done():
+            self.final.set_result(final)
+
+
+def to_response(final: Final) -> web.Response:
+    """The wire form of a final answer."""
+    payload = final.payload
+    if final.kind == "served" and payload is not None:
+        headers = {"ETag": f'"{payload.tag}"'} if payload.tag else {}
+        if payload.same:
+            return web.Response(status=304, headers=headers)
+        return web.Response(body=payload.body, headers=headers, content_type="application/octet-stream")
+    if final.kind == "refused":
+        return web.Response(status=503, headers={"Srv-Wait-Ms": str(max(round(final.retry_after_ms), 0))})
+    return web.Response(status=STATUS[final.cause])
+
+
+class HttpFront:
+    """Owns the listening socket and the clients' connections."""
+
+    def __init__(self, settings: Settings, clock: Clock, carrier: Carrier, post: Callable[[object], None],
+                 counters: Counters) -> None:
+        self._settings, self._clock, self._carrier = settings, clock, carrier
+        self._post, self._counters = post, counters
+        self._listener: asyncio.Server | None = None
+        # A client that leaves cancels its handler, which frees its attempt.
+        self._server = web.Server(self._handle, handler_cancellation=True, access_log=None,
+                                  keepalive_timeout=IDLE_S)
+
+    async def start(self, listen: Address) -> None:
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self._server, listen.host, listen.port, backlog=BACKLOG,
+                                                  reuse_address=True)
+
+    async def close(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+        await self._server.shutdown(0.1)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/health":
+            return web.Response(text="ok")
+        try:
+            body = await self._body(request)
+            call = parse_call(request.method, request.raw_path, request.headers, body, self._clock.now_ms(),
+                              self._settings)
+        except BadRequest as error:
+            self._counters.add("bad_request")
+            log.info("bad request: %s", error.why)
+            response = web.Response(status=error.status, text=error.why)
+            response.force_close()
+            return response
+        answerer = HttpAnswerer()
+        self._post(Taken(call, self._carrier, answerer))
+        try:
+            return to_response(await answerer.final)
+        except asyncio.CancelledError:
+            self._post(ClientLeft(call.id, answerer))
+            raise
+
+    async def _body(self, request: web.BaseRequest) -> bytes:
+        """The body, within its limit: a longer or slower one is refused before it fills the memory."""
+        if request.content_length is not None and request.content_length > MOST_BODY:
+            raise BadRequest(413, "the body is too long")
+        if not request.body_exists:
+            return b""
+        body = bytearray()
+        try:
+            async with asyncio.timeout(BODY_S):
+                async for chunk in request.content.iter_any():
+                    body += chunk
+                    if len(body) > MOST_BODY:
+                        raise BadRequest(413, "the body is too long")
+        except TimeoutError:
+            raise BadRequest(408, "the body took too long") from None
+        except (web.RequestPayloadError, ConnectionError, ValueError) as error:
+            raise BadRequest(400, f"the body can't be read: {error}") from None
+        return bytes(body)
