--- /dev/null
+++ b/beechslip/dns/__init__.py
@@ -0,0 +1,1 @@
+"""The DNS front: lookups are answered by the same decisions, under the same rules, as HTTP requests."""
--- a/beechslip/doorman.py
+++ b/beechslip/doorman.py
@@ -40,8 +40,16 @@
         except BadEvent as error:
             raise ConfigError(f"known: {error}") from None
         front = HttpFront(settings, self.clock, client, engine.post, self.counters)
+        names = None
+        if config.dns is not None:
+            from beechslip.dns.front import DnsFront  # on the platform it is off, and dnspython stays out
+
+            names = DnsFront(config.dns, settings, self.clock, engine.listed.is_set, engine.post,
+                             self.counters)
         tasks = [asyncio.create_task(engine.run())]
         try:
+            if names is not None:
+                await names.start()
             for one in news:
                 engine.post(one)
             if config.changelog is not None:
@@ -56,6 +64,8 @@
             await engine.quiet.wait()
         finally:
             await front.close()
+            if names is not None:
+                await names.close()
             for task in reversed(tasks):
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
--- a/beechslip/platform/front.py
+++ b/beechslip/platform/front.py
@@ -54,6 +54,7 @@
         self._settings, self._clock, self._carrier = settings, clock, carrier
         self._post, self._counters = post, counters
         self._listener: asyncio.Server | None = None
+        self.port = 0
         # A client that leaves cancels its handler, which frees its attempt.
         self._server = web.Server(self._handle, handler_cancellation=True, access_log=None,
                                   keepalive_timeout=IDLE_S)
@@ -62,6 +63,7 @@
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(self._server, listen.host, listen.port, backlog=BACKLOG,
                                                   reuse_address=True)
+        self.port = self._listener.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
         if self._listener is not None:
--- /dev/null
+++ b/tests/stand.py
@@ -0,0 +1,174 @@
+"""The shared helper of the socket tests: stand-ins for depots, change log and clients, all on loopback."""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import functools
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any
+
+from aldershed.adapter import read_settings
+from aldershed.logic import Router
+from beechslip.clock import ManualClock
+from beechslip.config import Address
+from beechslip.core.engine import Engine
+from beechslip.core.model import Depot, Listing
+from beechslip.counters import Counters
+from beechslip.platform.depots import DepotClient
+from beechslip.platform.front import HttpFront
+
+SETTINGS: dict[str, Any] = {
+    "balancers": 1, "me": 0, "myZone": "edge-1", "dcs": ["north", "edge-1"], "round": 0.002,
+    "models": ["std-box", "parent", "origin"], "discovery": "pushed", "weights": "off",
+    "caps": {"cancel": True, "dialTimeout": 0.4, "idleClose": 30.0, "maxAttempts": 8, "maxRetryAfter": 2.0,
+             "mostHeld": 100, "probes": True, "retryAfter": True, "secondCopies": False},
+    "classes": [
+        {"name": "waveform", "onTime": 0.4, "aimStretch": 2.0, "credit": 2.0, "effect": "repeatable",
+         "giveUp": 6.0, "group": "all", "lateWorth": 0.1, "window": 5.0},
+        {"name": "plot", "onTime": 0.4, "credit": 1.0, "effect": "repeatable", "giveUp": 2.5, "group": "all",
+         "lateWorth": 0.2, "window": 5.0},
+        {"name": "pick-submit", "onTime": 0.8, "credit": 3.0, "effect": "by_key", "giveUp": 3.0,
+         "group": "all", "lateWorth": 0.0, "window": 6.0},
+    ],
+    "loadReport": {"columns": ["cpu", "active", "x1"], "how": "inline"},
+    "safety": {"answerSlack": 0.008, "coldShare": 0.18, "drainGrace": 0.5, "fall": 3.0, "fallMultiple": 2.5,
+               "warmWithin": 16.0},
+    "specifics": {"attachedTo": [0, 0], "clientKbPerS": 6400.0, "goesThrough": [False, False, True],
+                  "goneEverywhere": 6.0, "heedWithin": 1.0, "instancesByZone": [0, 1],
+                  "maxAge": [0.0, 12.0, 0.0], "parentBreaksAt": 2.0, "parentKind": 1, "parentStartsAt": 0.081,
+                  "passThroughOk": True, "sharesFills": True, "siblings": "any", "sourceKind": 2,
+                  "staleFor": [0.0, 0.0, 0.0], "tells": "hit", "upperCold": 22.0},
+}
+OK = b"HTTP/1.1 200 OK\r\nX-Digest: 4be0\r\nX-Result: local\r\nX-Stats: inflight:7;util:0.61\r\n" \
+     b"Content-Length: 5\r\n\r\nwaves"
+HANG, RESET = b"", b"RST"
+
+
+def run(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
+    """Run a test on a loop of its own; one that hangs fails."""
+    @functools.wraps(test)
+    def call(**given: Any) -> None:
+        asyncio.run(asyncio.wait_for(test(**given), 20))
+    return call
+
+
+async def until(true: Callable[[], object]) -> None:
+    """Wait for what other tasks bring about; the runner's limit ends a vain wait."""
+    while not true():
+        await asyncio.sleep(0.001)
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    """One HTTP message: its first line, its fields, its body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    fields = dict(line.split(": ", 1) for line in head[1:] if line)
+    return head[0], fields, await reader.readexactly(int(fields.get("Content-Length", 0)))
+
+
+class StandDepot:
+    """A depot that notes what it is asked and answers by its script: one entry a request, the last stays."""
+
+    def __init__(self, name: str, *script: bytes, kind: str = "std-box", zone: str = "edge-1") -> None:
+        self.name, self.kind, self.zone = name, kind, zone
+        self.script = list(script or (OK,))
+        self.seen: list[tuple[str, dict[str, str], bytes]] = []
+        self.closed = self.connections = 0
+        self.address = ""
+        self.log: list[str] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                message = await read_message(reader)
+                self.seen.append(message)
+                self.log.append(f"asked {self.name}")
+                answer = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+                if answer == RESET:
+                    writer.transport.abort()
+                    break
+                writer.write(answer)
+        self.closed += 1
+        self.log.append(f"closed {self.name}")
+        writer.close()
+
+    def entry(self, state: str = "ready", started_ms: float = 0.0) -> Depot:
+        return Depot(self.name, self.address, self.kind, self.zone, state, started_ms=started_ms)
+
+
+@contextlib.asynccontextmanager
+async def listening(*depots: StandDepot) -> AsyncIterator[None]:
+    log: list[str] = []
+    servers = []
+    for depot in depots:
+        server = await asyncio.start_server(depot.serve, "127.0.0.1", 0)
+        depot.address, depot.log = f"127.0.0.1:{server.sockets[0].getsockname()[1]}", log
+        servers.append(server)
+    try:
+        yield
+    finally:
+        for server in servers:
+            server.close()
+
+
+class Stand:
+    """The doorman's parts on a clock that tests set, before stand-in depots."""
+
+    def __init__(self, *depots: StandDepot, module: Any = None) -> None:
+        self.depots, self.settings = depots, read_settings(SETTINGS)
+        self.clock, self.counters = ManualClock(), Counters()
+        self.module: Any = module or Router(self.settings, 1)
+        self.port = 0
+
+    async def __aenter__(self) -> Stand:
+        self._servers = listening(*self.depots)
+        await self._servers.__aenter__()
+        self.client = DepotClient(self.settings, 90)
+        self.engine = Engine(self.settings, self.module, self.clock, self.client, self.counters)
+        self.engine.step(Listing("all", tuple(depot.entry() for depot in self.depots)))
+        self._task = asyncio.create_task(self.engine.run())
+        self.front = HttpFront(self.settings, self.clock, self.client, self.engine.post, self.counters)
+        await self.front.start(Address("127.0.0.1", 0))
+        self.port = self.front.port
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.front.close()
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        await self.client.close()
+        await self._servers.__aexit__(None, None, None)
+
+    def home(self, name: str = "7f3a") -> tuple[StandDepot, ...]:
+        """The depots in the module's own order for an object: learned by nothing but its hash."""
+        from aldershed.logic import mix, stable_hash
+
+        key = stable_hash(f"{name}\n0")
+        boxes = [d for d in self.depots if d.kind == "std-box"]
+        return tuple(sorted(boxes, key=lambda d: mix(key, stable_hash(d.name)), reverse=True))
+
+    def ask(self, **how: Any) -> asyncio.Task[Answer]:
+        return asyncio.create_task(fetch(self.port, **how))
+
+
+_ids = iter(range(1, 1 << 60))
+
+
+Answer = tuple[int, dict[str, str], bytes]
+
+
+async def fetch(port: int, target: str = "/rpc/waveform/7f3a?slice=0", method: str = "GET", body: bytes = b"",
+                wait_ms: int = 6000, raw: bytes | None = None, **fields: str) -> Answer:
+    """One request on a connection of its own; ``raw`` is sent as it is."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    told = {"Host": "service.internal", "Req-Id": f"{next(_ids):016x}", "Req-Wait-Ms": str(wait_ms),
+            **{name.replace("_", "-"): value for name, value in fields.items()}}
+    if body:
+        told["Content-Length"] = str(len(body))
+    head = "".join(f"{name}: {value}\r\n" for name, value in told.items() if value)
+    try:
+        writer.write(raw if raw is not None else f"{method} {target} HTTP/1.1\r\n{head}\r\n".encode() + body)
+        first, got, data = await read_message(reader)
+        return int(first.split()[1]), got, data
+    finally:
+        writer.transport.abort()
--- /dev/null
+++ b/tests/test_parse.py
@@ -0,0 +1,148 @@
+"""Tables of cases for the platform's parsers."""
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from aldershed.adapter import read_settings
+from beechslip.config import ConfigError, parse_address
+from beechslip.core.model import Call, Depot, Ended, Listing, Order, Payload, Purged
+from beechslip.platform import parse as p
+from tests.stand import SETTINGS
+
+RULES = read_settings(SETTINGS)
+GOOD = {"Req-Id": "9b1f03aa5c7e2d41", "Req-Wait-Ms": "1500"}
+CALL = Call("9b1f03aa5c7e2d41", "waveform", "7f3a", 3, 17, 412.5, 1500.0, 5.0, tag="4be0")
+
+
+@pytest.mark.parametrize(("method", "target", "fields", "want"), [
+    ("GET", "/rpc/waveform/7f3a?slice=3",
+     {"X-Set": "17", "Req-Kb": "412.5", "If-None-Match": '"4be0"'}, CALL),
+    ("GET", "/rpc/waveform/7f3a", {"If-None-Match": 'W/"4be0"', "X-Set": "255"},
+     replace(CALL, part=0, group=255, size_kb=0.0)),
+    ("GET", "/rpc/plot/a%20b?slice=0", {}, Call(CALL.id, "plot", "a b", wait_ms=1500.0, arrived_ms=5.0)),
+    ("GET", "/rpc/plot/7f3a", {"If-None-Match": "*"},  # no tag of a copy: not passed on
+     Call(CALL.id, "plot", "7f3a", wait_ms=1500.0, arrived_ms=5.0)),
+    ("PUT", "/rpc/pick-submit/7f3a", {"Req-Token": "5c0f"},
+     Call(CALL.id, "pick-submit", "7f3a", wait_ms=1500.0, arrived_ms=5.0, write=True, token="5c0f")),
+])
+def test_a_request_is_read(method: str, target: str, fields: dict[str, str], want: Call) -> None:
+    assert p.parse_call(method, target, GOOD | fields, b"", 5.0, RULES) == want
+
+
+@pytest.mark.parametrize(("method", "target", "fields", "status"), [
+    ("GET", "/", {}, 404), ("GET", "/rpc/none/7f3a", {}, 404), ("GET", "/rpc/plot/", {}, 404),
+    ("GET", "/rpc/plot/a/b", {}, 404), ("GET", "/rpc/plot/a%2Fb", {}, 404), ("GET", "/rpc/plot/%00", {}, 404),
+    ("PUT", "/rpc/plot/7f3a", {}, 405), ("GET", "/rpc/pick-submit/7f3a", {}, 405),
+    ("GET", "/rpc/plot/7f3a?slice=-1", {}, 400), ("GET", "/rpc/plot/7f3a?slice=x", {}, 400),
+    ("GET", "/rpc/plot/7f3a", {"Req-Id": "short"}, 400),
+    ("GET", "/rpc/plot/7f3a", {"Req-Wait-Ms": "nan"}, 400),
+    ("GET", "/rpc/plot/7f3a", {"Req-Wait-Ms": "-1"}, 400), ("GET", "/rpc/plot/7f3a", {"X-Set": "256"}, 400),
+    ("GET", "/rpc/plot/7f3a", {"Req-Kb": "1e9"}, 400), ("GET", "/rpc/plot/7f3a", {"Req-Token": "a b"}, 400),
+])
+def test_a_bad_request_is_told_why(method: str, target: str, fields: dict[str, str], status: int) -> None:
+    with pytest.raises(p.BadRequest) as caught:
+        p.parse_call(method, target, GOOD | fields, b"", 0.0, RULES)
+    assert caught.value.status == status
+
+
+@pytest.mark.parametrize("missing", GOOD)
+def test_a_request_needs_its_id_and_its_wait(missing: str) -> None:
+    with pytest.raises(p.BadRequest):
+        fields = {name: value for name, value in GOOD.items() if name != missing}
+        p.parse_call("GET", "/rpc/plot/7f3a", fields, b"", 0.0, RULES)
+
+
+DEPOT = Depot("s-00c41f7a", "10.1.0.9:7001", "std-box", "east", "ready", 4.0, 2, 0.0)
+
+
+@pytest.mark.parametrize(("order", "want"), [
+    (Order(CALL, 0, DEPOT, "", 900.9), {"X-Patience": "900", "X-Validator": "4be0"}),
+    (Order(replace(CALL, tag="", token="5c"), 0, DEPOT, "s-1", 0.2, 2, 0.4, True, True, True),
+     {"X-Patience": "1", "X-Op-Key": "5c", "X-Next-Hop": "s-1", "X-Admit": "2", "X-Age-Cap": "1",
+      "X-Hints": "share+peek+swr"}),
+    (Order(replace(CALL, tag=""), 0, DEPOT, "", 50.0, 0, 1999.9, True), {"X-Patience": "50",
+     "X-Age-Cap": "1999", "X-Hints": "share"}),
+])
+def test_an_attempt_is_written(order: Order, want: dict[str, str]) -> None:
+    assert p.depot_headers(order, order.timeout_ms) == {"X-Trace": CALL.id} | want
+    assert p.depot_target(order) == "/data/waveform/7f3a/3"
+
+
+@pytest.mark.parametrize(("status", "fields", "tells", "want"), [
+    (200, {"X-Digest": "4b", "X-Result": "local", "X-Stats": "inflight:7;util:0.61;x1:2"}, "hit",
+     Ended("ok", "hit", {"held": 7.0, "busy": 0.61, "link": 2.0}, Payload(b"b", "4b"))),
+    (200, {"X-Result": "pulled"}, "", Ended("ok", "", {}, Payload(b"b"))),
+    (200, {"X-Result": "rode", "X-Stats": "junk;util:nan"}, "all", Ended("ok", "joined", {}, Payload(b"b"))),
+    (200, {"X-Result": "expired"}, "hit", Ended("ok", "stale", {}, Payload(b"b"))),
+    (200, {"X-Result": "hit"}, "hit", Ended("ok", "", {}, Payload(b"b"))),  # the simulator's word, not ours
+    (304, {"X-Digest": "4be0"}, "hit", Ended("ok", "", {}, Payload(b"", "4be0", True))),
+    (404, {}, "hit", Ended("miss")), (503, {"X-Declined": "1"}, "hit", Ended("full")),
+    (503, {}, "hit", Ended("error")), (504, {"X-Declined": "1"}, "hit", Ended("moot")),
+    (504, {}, "hit", Ended("error")), (500, {"X-Declined": "1"}, "hit", Ended("error")),
+    (302, {}, "hit", Ended("error")),
+])
+def test_a_depots_answer_is_read(status: int, fields: dict[str, str], tells: str, want: Ended) -> None:
+    assert p.parse_answer(status, fields, b"b", tells, "4be0") == want
+
+
+def test_a_304_that_nobody_asked_for_is_an_error() -> None:
+    assert p.parse_answer(304, {}, b"", "hit", "") == Ended("error")
+
+
+LINE = {"name": "s-1", "address": "10.1.0.9:7001", "zone": "east", "type": "std", "group": 2,
+        "status": "active", "weight": 4, "since_ms": 12}
+
+
+@pytest.mark.parametrize(("value", "want"), [
+    ({"seq": 1, "fleet": {"index": 7, "snapshot": True, "endpoints": [LINE]}},
+     Listing("all", (Depot("s-1", "10.1.0.9:7001", "std", "east", "ready", 4.0, 2, 12.0),))),
+    ({"seq": 2, "fleet": {"snapshot": False, "endpoints": [{"name": "s-1", "status": "left"}]}},
+     Listing("changes", (Depot("s-1", "", state="gone"),))),
+    ({"seq": 3, "invalidate": {"object": "7f3a", "time": 99}}, Purged("7f3a", 0, 99.0)),
+    ({"seq": 4, "invalidate": {"bucket": 0, "time": 99}}, Purged("", 0, 99.0)),
+])
+def test_an_event_is_read(value: dict[str, Any], want: Listing | Purged) -> None:
+    assert p.parse_change(value) == (value["seq"], [want])
+
+
+@pytest.mark.parametrize("value", [
+    1, {}, {"seq": "1"}, {"seq": 1, "fleet": {}}, {"seq": 1, "fleet": {"endpoints": [{}]}},
+    {"seq": 1, "fleet": {"endpoints": [LINE | {"status": "odd"}]}},
+    {"seq": 1, "fleet": {"endpoints": [LINE | {"address": None}]}},
+    {"seq": 1, "fleet": {"endpoints": [LINE | {"since_ms": "x"}]}}, {"seq": 1, "invalidate": {"time": 1}},
+])
+def test_an_event_that_cannot_be_read_is_refused(value: Any) -> None:
+    with pytest.raises(p.BadEvent):
+        p.parse_change(value)
+
+
+def test_known_gives_the_last_number_and_the_list_as_remembered() -> None:
+    first = {"seq": 1, "fleet": {"snapshot": True, "endpoints": [LINE]}}
+    second = {"seq": 2, "invalidate": {"bucket": 4, "time": 9}}
+    last, news = p.parse_known({"seq": 3, "results": [first, second]})
+    assert last == 3 and [type(one) for one in news] == [Listing, Purged]
+    assert isinstance(news[0], Listing) and news[0].kind == "remembered"
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 1000])
+def test_the_event_stream_reads_alike_however_it_is_cut(size: int) -> None:
+    stream = b": hello\n\nid: 4\r\ndata: {\"seq\":4}\r\n\r\n:\n\nid:5\ndata:a\ndata:b\n\nid: 6\n\ndata: cut"
+    parser, events = p.EventParser(), list[p.Event]()
+    for at in range(0, len(stream), size):
+        events += parser.feed(stream[at:at + size])
+    assert events == [p.Event("4", '{"seq":4}'), p.Event("5", "a\nb")] and parser.comments == 2
+
+
+def test_an_endless_line_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(p, "MOST_EVENT", 10)
+    with pytest.raises(p.BadEvent):
+        p.EventParser().feed(b"data: " + b"x" * 10)
+
+
+@pytest.mark.parametrize("text", ["", "host", "host:", ":1", "host:0", "host:65536", "host:x"])
+def test_what_is_no_address_is_refused(text: str) -> None:
+    with pytest.raises(ConfigError):
+        parse_address(text)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,349 @@
+"""One test on real sockets for each rule that the doorman keeps whatever the module decides."""
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from aldershed import interface as i
+from beechslip.clock import ManualClock
+from beechslip.config import Address
+from beechslip.core.model import Call, Ended, Final, Listing, Purged, Taken
+from beechslip.counters import Counters
+from beechslip.platform.changelog import ChangeLog
+from tests.stand import HANG, OK, RESET, Stand, StandDepot, fetch, listening, read_message, run, until
+
+MISS = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+ERROR = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+
+
+def boxes(*scripts: bytes) -> list[StandDepot]:
+    return [StandDepot("a", *scripts), StandDepot("b", *scripts),
+            StandDepot("hub", kind="parent", zone="north"),
+            StandDepot("archive", kind="origin", zone="north")]
+
+
+class Plan:
+    """A module that sends each request where it is told, one attempt after another, then fails it."""
+
+    def __init__(self, *stores: str, source: str = "", cancel_on_timer: bool = False) -> None:
+        self.stores, self.source, self.left = stores, source, dict[str, list[str]]()
+        self.heard: list[i.Event] = []
+        self.cancel_on_timer = cancel_on_timer
+
+    def start(self, now: float) -> list[i.Action]:
+        return []
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]:
+        self.heard.append(event)
+        if isinstance(event, i.Request):
+            self.left[event.request] = list(self.stores)
+            return self.next(event.request, event.time_left)
+        if isinstance(event, i.Outcome) and not event.finished:
+            return self.next(event.request, 1.0)
+        return []
+
+    def next(self, request: str, wait: float) -> list[i.Action]:
+        left = self.left[request]
+        if not left:
+            return [i.Fail(request)]
+        store = left.pop(0)
+        return [i.Attempt(request, store, self.source or store, wait)]
+
+
+@run
+async def test_bytes_tags_and_304s_are_carried_through() -> None:
+    same = b"HTTP/1.1 304 Not Modified\r\nX-Digest: 4be0\r\nX-Result: local\r\n\r\n"
+    async with Stand(*boxes(OK, same)) as stand:
+        status, fields, body = await stand.ask()
+        assert (status, fields["ETag"], body) == (200, '"4be0"', b"waves")
+        status, fields, body = await stand.ask(If_None_Match='"4be0"')
+        assert (status, fields["ETag"], body) == (304, '"4be0"', b"")
+        asked = stand.home()[0].seen
+        assert asked[1][1]["X-Validator"] == "4be0" and asked[0][0] == "GET /data/waveform/7f3a/0 HTTP/1.1"
+        assert not {"User-Agent", "Accept", "Accept-Encoding"} & set(asked[0][1])
+
+
+@run
+async def test_a_silent_depot_still_gives_one_final_answer_before_the_client_gives_up() -> None:
+    async with Stand(*boxes(HANG), module=Plan("a")) as stand:
+        asked = stand.ask(wait_ms=2000)
+        await until(lambda: stand.depots[0].seen)
+        stand.clock.advance(1999)
+        assert (await asked)[0] == 504
+        assert stand.counters["attempt.timeout"] == 1 and stand.counters["answered.failed"] == 1
+
+
+@run
+async def test_a_module_that_never_answers_does_not_lose_the_request() -> None:
+    class Mute(Plan):
+        def next(self, request: str, wait: float) -> list[i.Action]:
+            return []
+
+    async with Stand(*boxes(), module=Mute()) as stand:
+        asked = stand.ask(wait_ms=2000)
+        await until(lambda: stand.counters["taken"])
+        stand.clock.advance(1999)
+        assert (await asked)[0] == 504 and stand.counters["last_moment"] == 1
+
+
+@run
+async def test_a_module_that_raises_fails_the_request_and_not_the_program() -> None:
+    class Broken(Plan):
+        def next(self, request: str, wait: float) -> list[i.Action]:
+            raise IndexError("out of reach")
+
+    async with Stand(*boxes(), module=Broken()) as stand:
+        assert [(await stand.ask())[0], (await stand.ask())[0]] == [500, 500]
+        assert stand.counters["fault.module"] == 2
+
+
+@run
+async def test_a_given_up_attempt_is_closed_before_the_next_one_starts() -> None:
+    # Guards against two attempts out at once: the first must be off the wire, not just forgotten.
+    depots = [StandDepot("a", HANG), StandDepot("b")]
+    async with Stand(*depots, module=Plan("a", "b")) as stand:
+        asked = stand.ask()
+        await until(lambda: depots[0].seen)
+        next(iter(stand.engine._flights.values())).stop("cancelled")
+        assert (await asked)[0] == 200
+        await until(lambda: len(depots[0].log) == 3)
+        assert depots[0].log == ["asked a", "closed a", "asked b"]
+
+
+@run
+async def test_a_second_attempt_while_one_is_out_is_not_sent() -> None:
+    class Twice(Plan):
+        def next(self, request: str, wait: float) -> list[i.Action]:
+            both = len(self.left[request]) == 2
+            return super().next(request, wait) + super().next(request, wait) if both else []
+
+    async with Stand(*boxes(), module=Twice("a", "b")) as stand:
+        assert (await stand.ask())[0] == 200
+        assert [len(depot.seen) for depot in stand.depots[:2]] == [1, 0]
+        assert stand.counters["attempt.moot"] == 1
+
+
+@run
+async def test_no_more_attempts_than_permitted() -> None:
+    async with Stand(*boxes(ERROR), module=Plan(*"abababababab")) as stand:
+        assert (await stand.ask())[0] == 502
+        assert sum(len(depot.seen) for depot in stand.depots) == 8
+
+
+@run
+async def test_aiohttp_does_not_send_again_on_a_dropped_kept_alive_connection() -> None:
+    # Its client would, in silence: an attempt that neither the cap nor the rule on effects knows of.
+    async with Stand(*boxes(OK, RESET, OK), module=Plan("a")) as stand:
+        assert (await stand.ask())[0] == 200
+        assert (await stand.ask())[0] == 502
+        assert len(stand.depots[0].seen) == 2 and stand.depots[0].connections == 1
+        assert stand.counters["attempt.reset"] == 1
+
+
+@run
+async def test_a_refused_connection_proves_that_nothing_ran() -> None:
+    async with Stand(*boxes(), module=Plan("a", "b")) as stand:
+        gone = replace(stand.depots[0].entry(), address="127.0.0.1:1")
+        stand.engine.post(Listing("changes", (gone,)))
+        assert (await stand.ask())[0] == 200
+        results = [event.result for event in stand.module.heard if isinstance(event, i.Outcome)]
+        assert results == ["connect_failed", "ok"]
+
+
+@run
+async def test_a_broken_answer_is_tried_again_and_never_reaches_the_client() -> None:
+    cut = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwa"
+
+    class Cutting(StandDepot):
+        async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_message(reader)
+            writer.write(cut)
+            writer.close()
+
+    async with Stand(Cutting("a"), StandDepot("b"), module=Plan("a", "b")) as stand:
+        assert (await stand.ask())[2] == b"waves" and stand.counters["attempt.reset"] == 1
+
+
+@run
+async def test_an_answer_that_is_too_large_fails_the_attempt() -> None:
+    big = b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + b"x" * 300000
+    async with Stand(*boxes(big), module=Plan("a")) as stand:
+        assert (await stand.ask())[0] == 502 and stand.counters["attempt.error"] == 1
+
+
+@run
+@pytest.mark.parametrize("drained", ["a", "hub"])
+async def test_nothing_new_goes_to_or_through_what_drains(drained: str) -> None:
+    # The drain is told after the module has chosen and before the first byte: dialling takes time.
+    plan = Plan("a", source="hub")
+    async with Stand(*boxes(), module=plan) as stand:
+        final: asyncio.Future[Final] = asyncio.get_running_loop().create_future()
+        call = Call("1", "waveform", "7f3a", wait_ms=3000.0, arrived_ms=stand.clock.now_ms())
+        answerer: Any = type("Answerer", (), {"answer": staticmethod(final.set_result)})()
+        stand.engine.step(Taken(call, stand.client, answerer))
+        leaving = next(depot for depot in stand.depots if depot.name == drained).entry("draining")
+        stand.engine.step(Listing("changes", (leaving,)))
+        assert (await final).kind == "failed"
+        assert not any(depot.seen for depot in stand.depots) and stand.counters["attempt.moot"] == 1
+
+
+@run
+async def test_purges_and_drains_overtake_queued_requests() -> None:
+    async with Stand(*boxes()) as stand:
+        home, other = stand.home()
+        final: asyncio.Future[Final] = asyncio.get_running_loop().create_future()
+        answerer: Any = type("Answerer", (), {"answer": staticmethod(final.set_result)})()
+        call = Call("1", "waveform", "7f3a", group=4, wait_ms=3000.0, arrived_ms=stand.clock.now_ms())
+        stand.engine.post(Taken(call, stand.client, answerer))
+        stand.engine.post(Purged("", 4, stand.clock.now_ms() - 200))
+        stand.engine.post(Listing("changes", (home.entry("draining"),)))
+        assert (await final).kind == "served"
+        assert not home.seen and 1 <= int(other.seen[0][1]["X-Age-Cap"]) <= 200
+
+
+@run
+async def test_the_age_of_a_purge_is_taken_when_the_module_gets_it() -> None:
+    plan = Plan()
+    async with Stand(*boxes(), module=plan) as stand:
+        stand.engine.post(Purged("7f3a", 0, stand.clock.now_ms() - 100))
+        stand.clock.advance(400)
+        await until(lambda: any(isinstance(event, i.Purge) for event in plan.heard))
+        assert plan.heard[-1] == i.Purge("7f3a", 0, 0.5)
+
+
+@run
+async def test_a_write_goes_to_the_archive_once_with_its_key_and_body() -> None:
+    async with Stand(*boxes()) as stand:
+        status, _, _ = await stand.ask(target="/rpc/pick-submit/9c", method="PUT", body=b"pick",
+                                       Req_Token="5c0f")
+        seen = [(depot.name, *message) for depot in stand.depots for message in depot.seen]
+        assert status == 200 and len(seen) == 1
+        name, first, fields, body = seen[0]
+        assert first.startswith("PUT /data/pick-submit/9c/0") and body == b"pick"
+        assert fields["X-Op-Key"] == "5c0f" and (name == "archive" or fields["X-Next-Hop"] == "archive")
+
+
+@run
+async def test_a_keyed_repeat_is_not_written_after_its_window() -> None:
+    # A depot that discards repeats for 6 s would run one that comes later.
+    plan = Plan("a", "b")
+    async with Stand(*boxes(HANG), module=plan) as stand:
+        stand.engine.settings.classes["pick-submit"] = replace(
+            stand.engine.settings.classes["pick-submit"], window=0.5)
+        asked = stand.ask(target="/rpc/pick-submit/9c", method="PUT", body=b"pick")
+        await until(lambda: stand.depots[0].seen)
+        stand.clock.advance(600)
+        next(iter(stand.engine._flights.values())).stop("cancelled")
+        assert (await asked)[0] == 502 and not stand.depots[1].seen
+
+
+@run
+async def test_a_client_that_leaves_frees_its_attempt() -> None:
+    async with Stand(*boxes(HANG), module=Plan("a")) as stand:
+        asked = stand.ask()
+        await until(lambda: stand.depots[0].seen)
+        asked.cancel()
+        await until(lambda: stand.depots[0].closed)
+        await until(stand.engine.quiet.is_set)
+        assert stand.counters["left"] == 1 and not stand.engine._flights
+        assert any(isinstance(event, i.ClientGone) for event in stand.module.heard)
+
+
+@run
+async def test_a_refusal_says_when_to_come_back() -> None:
+    class Full(Plan):
+        def next(self, request: str, wait: float) -> list[i.Action]:
+            return [i.Refuse(request, 0.25)]
+
+    async with Stand(*boxes(), module=Full()) as stand:
+        status, fields, _ = await stand.ask()
+        assert (status, fields["Srv-Wait-Ms"]) == (503, "250")
+
+
+@run
+async def test_an_id_that_is_open_already_is_not_taken_twice() -> None:
+    async with Stand(*boxes(HANG), module=Plan("a")) as stand:
+        first = stand.ask(Req_Id="9b1f03aa5c7e2d41")
+        await until(lambda: stand.depots[0].seen)
+        assert (await stand.ask(Req_Id="9b1f03aa5c7e2d41"))[0] == 409
+        first.cancel()
+
+
+@run
+@pytest.mark.parametrize(("raw", "status"), [
+    (b"nonsense\r\n\r\n", 400), (b"GET /rpc/plot/7f3a HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+    (b"GET /none HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+    (b"GET / HTTP/1.1\r\n" + b"A: b\r\n" * 9000 + b"\r\n", 400),
+    (b"PUT /rpc/pick-submit/7f HTTP/1.1\r\nHost: x\r\nContent-Length: 48001\r\n\r\n", 413),
+    (b"PUT /rpc/pick-submit/7f HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+])
+async def test_bad_input_gets_a_4xx_and_the_program_goes_on(raw: bytes, status: int) -> None:
+    async with Stand(*boxes()) as stand:
+        assert (await fetch(stand.port, raw=raw))[0] == status
+        assert (await stand.ask())[0] == 200
+
+
+@run
+async def test_a_probe_reads_the_load_and_a_silent_one_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("beechslip.platform.depots.PROBE_MS", 1.0)
+    async with Stand(StandDepot("a", HANG), module=Plan()) as stand:
+        assert await stand.client.probe(stand.depots[0].entry()) == Ended("timeout")
+        monkeypatch.setattr("beechslip.platform.depots.PROBE_MS", 5000.0)
+        stand.depots[0].script = [OK]
+        assert (await stand.client.probe(stand.depots[0].entry())).report == {"held": 7.0, "busy": 0.61}
+        assert stand.depots[0].seen[-1][0] == "GET /load HTTP/1.1"
+
+
+@run
+async def test_the_change_log_is_followed_on_after_it_ends_and_each_event_told_once() -> None:
+    def event(seq: int) -> bytes:
+        return b'id: %d\ndata: {"seq":%d,"invalidate":{"bucket":%d,"time":9}}\n\n' % (seq, seq, seq)
+
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+    log = StandDepot("log", head + event(4) + event(5) + RESET, head + event(5) + event(6))
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        log.seen.append(await read_message(reader))
+        writer.write(log.script.pop(0) if log.script else head)
+        if log.script:
+            writer.close()
+
+    log.serve = serve  # type: ignore[method-assign]
+    told: list[Any] = []
+    async with listening(log):
+        host, port = log.address.split(":")
+        task = asyncio.create_task(ChangeLog(Address(host, int(port)), 3, told.append, Counters()).run())
+        await until(lambda: len(told) == 3)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+    assert [one.group for one in told] == [4, 5, 6]
+    assert [fields["Last-Event-ID"] for _, fields, _ in log.seen] == ["3", "5"]
+
+
+@run
+async def test_a_silent_change_log_is_asked_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("beechslip.platform.changelog.SILENCE_S", 0.01)
+    log = StandDepot("log", HANG)
+    async with listening(log):
+        host, port = log.address.split(":")
+        task = asyncio.create_task(ChangeLog(Address(host, int(port)), 3, lambda _: None, Counters()).run())
+        await until(lambda: len(log.seen) > 1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+def test_the_set_clock_runs_alarms_in_order_as_it_passes_them() -> None:
+    clock, rang = ManualClock(0.0), list[tuple[str, float]]()
+
+    def bell(name: str) -> Callable[[], None]:
+        return lambda: rang.append((name, clock.now_ms()))
+
+    clock.call_later(20, bell("late"))
+    clock.call_later(10, bell("early"))
+    clock.call_later(15, bell("off")).cancel()
+    clock.advance(30)
+    assert rang == [("early", 10.0), ("late", 20.0)] and clock.now_ms() == 30.0
