--- a/beechslip/platform/parse.py
+++ b/beechslip/platform/parse.py
@@ -21,8 +21,9 @@
 # The notes of X-Result, and by what the site tells the words that the module may learn.
 NOTES = {"local": "hit", "pulled": "filled", "rode": "joined", "expired": "stale"}
 TOLD = {"all": frozenset(NOTES.values()), "hit": frozenset(NOTES.values()), "": frozenset[str]()}
-# The fields of X-Stats in the module's words.
-STATS = {"util": "busy", "inflight": "held", "x0": "hit_share", "x1": "link"}
+# The fields of X-Stats in the module's words. X-Stats names them as the settings do: a site may say `util`
+# or `cpu` for the same figure, and a word that is missing here would hide it from the module.
+STATS = {"util": "busy", "cpu": "busy", "inflight": "held", "active": "held", "x0": "hit_share", "x1": "link"}
 
 _ID = re.compile(r"[0-9a-f]{16}\Z")
 _NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?\Z")
--- a/tests/test_parse.py
+++ b/tests/test_parse.py
@@ -74,6 +74,8 @@
 @pytest.mark.parametrize(("status", "fields", "tells", "want"), [
     (200, {"X-Digest": "4b", "X-Result": "local", "X-Stats": "inflight:7;util:0.61;x1:2"}, "hit",
      Ended("ok", "hit", {"held": 7.0, "busy": 0.61, "link": 2.0}, Payload(b"b", "4b"))),
+    (200, {"X-Stats": "cpu:0.038;active:7.294;x1:0.395"}, "hit",
+     Ended("ok", "", {"busy": 0.038, "held": 7.294, "link": 0.395}, Payload(b"b"))),
     (200, {"X-Result": "pulled"}, "", Ended("ok", "", {}, Payload(b"b"))),
     (200, {"X-Result": "rode", "X-Stats": "junk;util:nan"}, "all", Ended("ok", "joined", {}, Payload(b"b"))),
     (200, {"X-Result": "expired"}, "hit", Ended("ok", "stale", {}, Payload(b"b"))),
