--- a/beechslip/__main__.py
+++ b/beechslip/__main__.py
@@ -1,6 +1,11 @@
-"""``python -m beechslip`` runs one doorman."""
+"""``python -m beechslip`` runs one doorman; with arguments it is the command line."""
 import sys
 
-from beechslip.doorman import main
+if len(sys.argv) > 1:
+    from beechslip import cli
 
-sys.exit(main())
+    sys.exit(cli.main())
+
+from beechslip import doorman
+
+sys.exit(doorman.main())
--- a/beechslip/platform/front.py
+++ b/beechslip/platform/front.py
@@ -18,6 +18,7 @@
 
 IDLE_S = 20.0  # clients close after 4 s
 BODY_S = 10.0  # a body that takes longer is given up
+CLOSE_S = 2.0  # for an answer that is being written when the front closes
 BACKLOG = 512
 STATUS = {"": 502, "deadline": 504, "duplicate": 409, "fault": 500}
 
@@ -68,7 +69,7 @@
     async def close(self) -> None:
         if self._listener is not None:
             self._listener.close()
-        await self._server.shutdown(0.1)
+        await self._server.shutdown(CLOSE_S)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/health":
--- /dev/null
+++ b/beechslip/store/sqlite.py
@@ -0,0 +1,35 @@
+"""The store in a SQLite file."""
+from __future__ import annotations
+
+import sqlite3
+from typing import Any
+
+from beechslip.store import Store, StoreError
+from beechslip.store.sql import SqlStore
+
+BUSY_S = 5.0  # the agent and the command line write to one file: each waits for the other so long
+
+
+class SqliteDatabase:
+    serial = "INTEGER PRIMARY KEY AUTOINCREMENT"
+
+    def __init__(self, path: str) -> None:
+        try:
+            # The agent calls from worker threads, one at a time.
+            self._connection = sqlite3.connect(path, timeout=BUSY_S, isolation_level=None,
+                                               check_same_thread=False)
+        except sqlite3.Error as error:
+            raise StoreError(f"{path}: {error}") from None
+
+    def run(self, sql: str, **values: Any) -> list[tuple[Any, ...]]:
+        try:
+            return self._connection.execute(sql, values).fetchall()
+        except sqlite3.Error as error:
+            raise StoreError(str(error)) from None
+
+    def close(self) -> None:
+        self._connection.close()
+
+
+def open_sqlite(path: str) -> Store:
+    return SqlStore(SqliteDatabase(path))
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,241 @@
+"""The program as it is started in service, spoken to over sockets."""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import dns.asyncquery
+import dns.message
+import pytest
+
+from beechslip.store import open_store
+from tests.stand import OK, SETTINGS, StandDepot, fetch, listening, read_message, run, until
+
+ROOT = Path(__file__).resolve().parent.parent
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+
+
+class StandLog:
+    """A change log that tells what the test queues, with a comment now and then."""
+
+    def __init__(self) -> None:
+        self.queue: asyncio.Queue[bytes] = asyncio.Queue()
+        self.asked: list[str] = []
+        self.address = ""
+
+    def tell(self, seq: int, **news: Any) -> None:
+        self.queue.put_nowait(b"id: %d\ndata: %s\n\n" % (seq, json.dumps({"seq": seq, **news}).encode()))
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            self.asked.append((await read_message(reader))[1]["Last-Event-ID"])
+            writer.write(HEAD)
+            while not writer.is_closing():
+                try:
+                    writer.write(await asyncio.wait_for(self.queue.get(), 0.2))
+                except TimeoutError:
+                    writer.write(b":\n\n")
+                await writer.drain()
+
+
+def line(depot: StandDepot, status: str = "active") -> dict[str, Any]:
+    return {"name": depot.name, "address": depot.address, "zone": depot.zone, "type": depot.kind, "group": 0,
+            "status": status, "weight": 1, "since_ms": 0}
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Program:
+    """The world round one doorman, and the doorman as a process."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.port, self.log = folder, free_port(), StandLog()
+        self.depots = [StandDepot("a"), StandDepot("b"), StandDepot("hub", kind="parent", zone="north"),
+                       StandDepot("archive", kind="origin", zone="north")]
+        self.process: asyncio.subprocess.Process | None = None
+        self.env = {name: value for name, value in os.environ.items() if not name.startswith("EDGE_")}
+
+    def write_config(self, known: bool = True) -> Path:
+        fleet = {"index": 1, "snapshot": True, "endpoints": [line(depot) for depot in self.depots]}
+        path = self.folder / "config.json"
+        path.write_text(json.dumps({
+            "name": "n3", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "changelog": self.log.address,
+            "known": {"seq": int(known), "results": [{"seq": 1, "fleet": fleet}] if known else []},
+            "settings": SETTINGS}))
+        return path
+
+    async def start(self, *words: str, **told: str) -> asyncio.subprocess.Process:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "beechslip", *words, cwd=ROOT, env=self.env | told,
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        return self.process
+
+    async def ready(self) -> None:
+        while True:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                if (await fetch(self.port, "/health"))[0] == 200:
+                    return
+            await asyncio.sleep(0.02)
+
+    async def end(self) -> tuple[int | None, str]:
+        assert self.process is not None
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(signal.SIGTERM)
+        _, said = await self.process.communicate()
+        return self.process.returncode, said.decode()
+
+
+@contextlib.asynccontextmanager
+async def program(folder: Path) -> AsyncIterator[Program]:
+    one = Program(folder)
+    server = await asyncio.start_server(one.log.serve, "127.0.0.1", 0)
+    one.log.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    async with listening(*one.depots):
+        try:
+            yield one
+        finally:
+            if one.process is not None and one.process.returncode is None:
+                one.process.kill()
+                await one.process.wait()
+            server.close()
+
+
+@run
+async def test_it_serves_follows_the_change_log_and_ends_with_its_counters(tmp_path: Path) -> None:
+    async with program(tmp_path) as one:
+        await one.start(EDGE_CONFIG=str(one.write_config()))
+        await one.ready()
+        assert (await fetch(one.port))[2] == b"waves"
+        assert (await fetch(one.port, "/rpc/pick-submit/9c", "PUT", b"pick", Req_Token="5c"))[0] == 200
+        assert (await fetch(one.port, "/rpc/none/9c"))[0] == 404
+        first = next(depot for depot in one.depots if depot.seen)
+        one.log.tell(2, fleet={"snapshot": False, "endpoints": [line(first, "leaving")]})
+        other = one.depots[1 - one.depots.index(first)]
+        while not other.seen:
+            assert (await fetch(one.port))[2] == b"waves"
+        count = len(first.seen)
+        assert (await fetch(one.port))[2] == b"waves" and len(first.seen) == count
+        code, said = await one.end()
+        assert code == 0 and one.log.asked[0] == "1"
+        counters = dict(word.split("=") for word in said.splitlines()[-1].split() if "=" in word)
+        assert counters["bad_request"] == "1" and counters["answered.served"] == counters["taken"]
+
+
+@run
+async def test_sigterm_lets_it_take_and_answer_what_still_comes(tmp_path: Path) -> None:
+    held = asyncio.Event()
+
+    class Slow(StandDepot):
+        async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.seen.append(await read_message(reader))
+            await held.wait()
+            writer.write(OK)
+
+    async with program(tmp_path) as one:
+        one.depots[:2] = []
+        one.depots += [Slow("s")]
+        async with listening(one.depots[-1]):
+            process = await one.start(EDGE_CONFIG=str(one.write_config()))
+            await one.ready()
+            before = asyncio.create_task(fetch(one.port))
+            await until(lambda: one.depots[-1].seen)
+            process.send_signal(signal.SIGTERM)
+            after = asyncio.create_task(fetch(one.port))
+            await until(lambda: len(one.depots[-1].seen) == 2)
+            assert process.returncode is None
+            held.set()
+            assert [(await before)[2], (await after)[2]] == [b"waves", b"waves"]
+            assert (await process.communicate())[1] and process.returncode == 0
+
+
+@run
+async def test_health_waits_for_the_list(tmp_path: Path) -> None:
+    async with program(tmp_path) as one:
+        await one.start(EDGE_CONFIG=str(one.write_config(known=False)))
+        await until(lambda: one.log.asked)
+        with pytest.raises(OSError):
+            await fetch(one.port, "/health")
+        one.log.tell(1, fleet={"snapshot": True, "endpoints": [line(depot) for depot in one.depots]})
+        await one.ready()
+        assert (await fetch(one.port))[0] == 200
+        assert (await one.end())[0] == 0
+
+
+@run
+async def test_counters_are_printed_on_request(tmp_path: Path) -> None:
+    async with program(tmp_path) as one:
+        process = await one.start(EDGE_CONFIG=str(one.write_config()))
+        await one.ready()
+        await fetch(one.port)
+        process.send_signal(signal.SIGUSR1)
+        assert process.stderr is not None
+        said = b""
+        while b"counters " not in said:
+            said = await process.stderr.readline()
+        assert b" taken=1" in said and process.returncode is None
+
+
+@run
+@pytest.mark.parametrize("text", [None, "{", "[]", '{"settings":{}}', '{"settings":{},"listen":"x:y"}'])
+async def test_a_bad_configuration_is_told(tmp_path: Path, text: str | None) -> None:
+    one, path = Program(tmp_path), tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    process = await one.start(EDGE_CONFIG=str(path))
+    assert (await process.communicate())[1].count(b"\n") == 1 and process.returncode == 2
+
+
+@run
+async def test_the_dns_front_listens_where_its_file_says(tmp_path: Path) -> None:
+    async with program(tmp_path) as one:
+        port = free_port()
+        (tmp_path / "dns.toml").write_text(f'enabled = true\nzone = "z."\nlisten = "127.0.0.1:{port}"\n')
+        await one.start(EDGE_CONFIG=str(one.write_config()), EDGE_DNS=str(tmp_path / "dns.toml"))
+        await one.ready()
+        query = dns.message.make_query("7f3a.waveform.z.", "SRV")
+        answer = await dns.asyncquery.udp(query, "127.0.0.1", port=port, timeout=10)
+        record: Any = answer.answer[0][0]
+        assert f"127.0.0.1:{record.port}" in [depot.address for depot in one.depots[:2]]
+
+
+@run
+async def test_the_agent_runs_restarts_and_drains_a_declared_instance(tmp_path: Path) -> None:
+    async with program(tmp_path) as one:
+        url = f"sqlite:///{tmp_path}/store.db"
+        config = one.write_config()
+        adding = await one.start("--store", url, "instance", "add", "n3", "--config", str(config))
+        assert (await adding.communicate(), adding.returncode) == ((b"", b""), 0)
+        await one.start("--store", url, "agent")
+        store = open_store(url)
+
+        async def reach(state: str, restarts: int) -> int:
+            while True:
+                found = store.get("n3")
+                if found is not None and (found.state, found.restarts) == (state, restarts):
+                    return found.pid
+                await asyncio.sleep(0.02)
+
+        pid = await reach("healthy", 0)
+        assert (await fetch(one.port))[2] == b"waves"
+        os.kill(pid, signal.SIGKILL)
+        assert await reach("healthy", 1) != pid
+        assert (await fetch(one.port))[2] == b"waves"
+        store.want("n3", "drained")
+        await reach("drained", 1)
+        assert (await one.end())[0] == 0
+        assert [event.kind for event in store.events("n3")] == [
+            "declared", "started", "healthy", "exited", "restarted", "healthy", "draining", "drained"]
+        store.close()
