Drain a doorman whose agent was killed; test cold boxes, client options and the bound by sockets

A doorman that an agent starts watches its standard input, whose end is the agent's end. Tests added: a cold box's allowance over HTTP, no redirect, cookie, proxy, unpacking or quoting by the client, at most a third of the descriptors for depots, and the doorman that must not outlive its agent.

--- a/beechslip/agent/launcher.py
+++ b/beechslip/agent/launcher.py
@@ -9,6 +9,7 @@
 
 from beechslip.agent.agent import Process
 from beechslip.config import ConfigError, read_config
+from beechslip.doorman import KEPT
 from beechslip.store import Instance
 
 HEALTH_S = 1.0
@@ -17,7 +18,7 @@
 def environment(instance: Instance) -> dict[str, str]:
     """What the doorman is told by its environment."""
     told = {name: value for name, value in os.environ.items() if not name.startswith("EDGE_")}
-    told |= {"EDGE_CONFIG": instance.config, "EDGE_NAME": instance.name}
+    told |= {"EDGE_CONFIG": instance.config, "EDGE_NAME": instance.name, KEPT: "1"}
     if instance.listen:
         told["EDGE_LISTEN"] = instance.listen
     return told
@@ -28,7 +29,7 @@
 
     async def start(self, instance: Instance) -> Process:
         return await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "beechslip", stdin=asyncio.subprocess.DEVNULL, env=environment(instance))
+            sys.executable, "-m", "beechslip", stdin=asyncio.subprocess.PIPE, env=environment(instance))
 
     async def healthy(self, instance: Instance) -> bool:
         try:
--- a/beechslip/doorman.py
+++ b/beechslip/doorman.py
@@ -5,6 +5,7 @@
 import contextlib
 import gc
 import logging
+import os
 import signal
 import sys
 
@@ -22,6 +23,7 @@
 
 # After SIGTERM new connections keep coming for up to 0.4 s and requests on open ones for 0.2 s more.
 LINGER_S = 0.8
+KEPT = "BEECHSLIP_KEPT"  # set by an agent, which holds the other end of standard input
 
 
 class Doorman:
@@ -81,8 +83,21 @@
             task.result()
 
 
+class _Keeper(asyncio.Protocol):
+    """Standard input as the agent's sign of life: its end is the agent's end."""
+
+    def __init__(self, stopping: asyncio.Event) -> None:
+        self._stopping = stopping
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._stopping.set()
+
+
 async def _main(config: Config) -> None:
     doorman, loop = Doorman(config), asyncio.get_running_loop()
+    if os.environ.get(KEPT):
+        # Guards against a doorman that outlives its agent and holds the address against the next one's.
+        await loop.connect_read_pipe(lambda: _Keeper(doorman.stopping), sys.stdin)
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, doorman.stopping.set)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("%s", doorman.counters.line()))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -16,7 +16,7 @@
 import dns.message
 import pytest
 
-from beechslip.store import open_store
+from beechslip.store import Instance, open_store
 from tests.stand import OK, SETTINGS, StandDepot, fetch, listening, read_message, run, until
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -239,3 +239,19 @@
         assert [event.kind for event in store.events("n3")] == [
             "declared", "started", "healthy", "exited", "restarted", "healthy", "draining", "drained"]
         store.close()
+
+
+@run
+async def test_a_doorman_does_not_outlive_an_agent_that_is_killed(tmp_path: Path) -> None:
+    async with program(tmp_path) as one:
+        url = f"sqlite:///{tmp_path}/store.db"
+        store = open_store(url)
+        store.add(Instance("n3", str(one.write_config())))
+        agent = await one.start("--store", url, "agent")
+        await one.ready()
+        agent.kill()
+        await agent.wait()
+        with pytest.raises(OSError):
+            while True:
+                await fetch(one.port, "/health")
+        store.close()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,12 +9,26 @@
 import pytest
 
 from aldershed import interface as i
+from aldershed.adapter import read_settings
 from beechslip.clock import ManualClock
 from beechslip.config import Address
-from beechslip.core.model import Call, Ended, Final, Listing, Purged, Taken
+from beechslip.core.model import Call, Ended, Final, Listing, Order, Purged, Taken
 from beechslip.counters import Counters
 from beechslip.platform.changelog import ChangeLog
-from tests.stand import HANG, OK, RESET, Stand, StandDepot, fetch, listening, read_message, run, until
+from beechslip.platform.depots import DepotClient
+from tests.stand import (
+    HANG,
+    OK,
+    RESET,
+    SETTINGS,
+    Stand,
+    StandDepot,
+    fetch,
+    listening,
+    read_message,
+    run,
+    until,
+)
 
 MISS = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 ERROR = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
@@ -287,6 +301,56 @@
         assert (await stand.ask())[0] == 200
 
 
+@run
+@pytest.mark.parametrize("cold", [True, False])
+async def test_a_cold_box_gets_no_more_than_its_allowance(cold: bool) -> None:
+    async with Stand(*boxes(HANG)) as stand:
+        box, rules = stand.home()[0], stand.settings
+        # In 3 s it may be sent 2.5 times what it gives: as long as nothing is learned, 0.18 of one transfer.
+        most = rules.fall_multiple * rules.cold_share * rules.fall_span / rules.classes["waveform"].aim
+        started_ms = stand.clock.now_ms() if cold else 0.0
+        stand.engine.post(Listing("changes", (box.entry(started_ms=started_ms),)))
+        asked = [stand.ask(target=f"/rpc/waveform/{n}") for n in range(20)]
+        await until(lambda: sum(len(depot.seen) for depot in stand.depots) == len(asked))
+        assert (len(box.seen) <= most) == cold
+        for task in asked:
+            task.cancel()
+
+
+@run
+@pytest.mark.parametrize(("answer", "status", "body"), [
+    (b"HTTP/1.1 302 Found\r\nLocation: /data/waveform/other/0\r\nContent-Length: 0\r\n\r\n", 502, b""),
+    (OK.replace(b"X-Digest", b"Content-Encoding: gzip\r\nSet-Cookie: a=b\r\nX-Digest"), 200, b"waves"),
+])
+async def test_the_client_adds_nothing_of_its_own(
+        answer: bytes, status: int, body: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    # No redirect followed, nothing unpacked, no cookie sent back, no proxy used, no name quoted anew.
+    monkeypatch.setenv("http_proxy", "http://127.0.0.1:1")
+    async with Stand(*boxes(answer), module=Plan("a")) as stand:
+        for _ in range(2):
+            got = await stand.ask(target="/rpc/waveform/a%7Eb%2B")
+            assert (got[0], got[2]) == (status, body)
+        for first, fields, _ in stand.depots[0].seen:
+            assert first == "GET /data/waveform/a~b%2B/0 HTTP/1.1"
+            assert set(fields) == {"Host", "X-Trace", "X-Patience"}
+
+
+@run
+async def test_connections_to_depots_are_bounded() -> None:
+    async with listening(depot := StandDepot("a", HANG)):
+        client = DepotClient(replace(read_settings(SETTINGS), connect_wait=0.05), 6)
+        call = Call("1", "waveform", "7f3a")
+        tasks = [asyncio.create_task(client.carry(Order(call, n, depot.entry(), "", 9e3), lambda: True))
+                 for n in range(5)]
+        await until(lambda: sum(task.done() for task in tasks) == 3)
+        assert depot.connections == 2
+        assert {task.result().result for task in tasks if task.done()} == {"connect_failed"}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await client.close()
+
+
 @run
 async def test_a_probe_reads_the_load_and_a_silent_one_ends(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("beechslip.platform.depots.PROBE_MS", 1.0)
