Make three tests fail when what they guard is taken out

Missed: news overtaking requests (the guard at the first byte hid it; now the count of attempts is checked), what a hand-out teaches (failures were not compared), and the program's wait for open requests at its end (the pause after SIGTERM covered it).

--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -211,6 +211,13 @@
         assert (named.count(BOXES[0].split(":")[0]) <= most) == cold
 
 
+def learned(router: Router) -> list[Any]:
+    """What the module knows of speed and success."""
+    return [(s.good.total, s.served.total, s.bad.total, s.hard, s.overdue, s.room, s.lateness.late.total,
+             s.lateness.timely.total) for s in router.stores.values()] + [router.fill_share, router.tardy,
+                                                                          router.mean_work, router.bear]
+
+
 @run
 async def test_a_hand_out_stays_out_for_its_time_and_teaches_nothing() -> None:
     heard: list[i.Event] = []
@@ -222,15 +229,14 @@
 
     router = Listening(read_settings(SETTINGS), 1)
     async with DnsStand(module=router) as stand:
-        before = [(s.good.total, s.served.total, s.room) for s in router.stores.values()]
+        before = learned(router)
         await stand.ask(f"{own(0)[0]}.waveform.{ZONE}")
         stand.clock.advance(HOLD_MS - 1)
         await until(lambda: isinstance(heard[-1], (i.ClientGone, i.Timer)))
         assert router.stores["s-0"].out == 1 and not router.held
         stand.clock.advance(2)
         await until(lambda: router.stores["s-0"].out == 0)
-        assert [(s.good.total, s.served.total, s.room) for s in router.stores.values()] == before
-        assert not router.mean_work and not router.tardy
+        assert learned(router) == before
         assert stand.counters["answered.served"] == 1
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -16,8 +16,11 @@
 import dns.message
 import pytest
 
+from beechslip import doorman
+from beechslip.config import read_config
+from beechslip.platform import front
 from beechslip.store import Instance, open_store
-from tests.stand import OK, SETTINGS, StandDepot, fetch, listening, read_message, run, until
+from tests.stand import HANG, OK, SETTINGS, StandDepot, fetch, listening, read_message, run, until
 
 ROOT = Path(__file__).resolve().parent.parent
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
@@ -161,6 +164,24 @@
             assert (await process.communicate())[1] and process.returncode == 0
 
 
+@run
+async def test_it_does_not_end_before_all_is_answered(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(doorman, "LINGER_S", 0.0)
+    monkeypatch.setattr(front, "CLOSE_S", 0.2)
+    async with program(tmp_path) as one:
+        for depot in one.depots:
+            depot.script = [HANG]
+        this = doorman.Doorman(read_config({"EDGE_CONFIG": str(one.write_config())}))
+        task = asyncio.create_task(this.run())
+        await one.ready()
+        asked = asyncio.create_task(fetch(one.port, wait_ms=1000))
+        await until(lambda: any(depot.seen for depot in one.depots))
+        this.stopping.set()
+        assert (await asked)[0] in (503, 504)  # its own deadline ends it, not the program's end
+        await task
+
+
 @run
 async def test_health_waits_for_the_list(tmp_path: Path) -> None:
     async with program(tmp_path) as one:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -217,6 +217,7 @@
         stand.engine.post(Listing("changes", (home.entry("draining"),)))
         assert (await final).kind == "served"
         assert not home.seen and 1 <= int(other.seen[0][1]["X-Age-Cap"]) <= 200
+        assert stand.counters["sent"] == 1  # the news came first: no attempt had to be held back
 
 
 @run
