--- a/beechslip/doorman.py
+++ b/beechslip/doorman.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from collections.abc import Mapping
 
 from aldershed.logic import Router
 from beechslip.clock import Clock, SystemClock
@@ -32,6 +33,23 @@
     def __init__(self, config: Config, clock: Clock | None = None) -> None:
         self.config, self.clock, self.counters = config, clock or SystemClock(), Counters()
         self.stopping = asyncio.Event()
+        self._reader: ChangeLog | None = None
+
+    def reload(self, environ: Mapping[str, str] | None = None) -> None:
+        """Read the configuration file anew and follow the change log where it is now.
+
+        Guards against an end by SIGHUP, which kills a program that has no handler for it. All else that the
+        file says holds from the next start on; one that can't be used leaves everything as it was.
+        """
+        try:
+            config = read_config(environ)
+        except ConfigError as error:
+            log.error("the new configuration is not used: %s", error)
+            return
+        self.counters.add("reloads")
+        if self._reader is not None and config.changelog is not None:
+            self._reader.move(config.changelog)
+            log.info("the change log is at %s, told up to %d", config.changelog, self._reader.last)
 
     async def run(self) -> None:
         config, settings = self.config, self.config.settings
@@ -55,8 +73,8 @@
             for one in news:
                 engine.post(one)
             if config.changelog is not None:
-                reader = ChangeLog(config.changelog, last, engine.post, self.counters)
-                tasks.append(asyncio.create_task(reader.run()))
+                self._reader = ChangeLog(config.changelog, last, engine.post, self.counters)
+                tasks.append(asyncio.create_task(self._reader.run()))
             # The list is known before /health answers, or the first requests would find no depot.
             await engine.listed.wait()
             await front.start(config.listen)
@@ -100,6 +118,7 @@
         await loop.connect_read_pipe(lambda: _Keeper(doorman.stopping), sys.stdin)
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, doorman.stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, doorman.reload)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("%s", doorman.counters.line()))
     await doorman.run()
 
--- a/beechslip/platform/changelog.py
+++ b/beechslip/platform/changelog.py
@@ -1,7 +1,8 @@
-"""The reader of the change log: follows the event stream and reconnects when it ends or falls silent."""
+"""The change log's reader: follows the event stream and reconnects when it ends, breaks or falls silent."""
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 
@@ -10,44 +11,90 @@
 from beechslip.config import Address
 from beechslip.core.model import Listing, Purged
 from beechslip.counters import Counters
-from beechslip.platform.parse import BadEvent, EventParser, parse_event
+from beechslip.platform.parse import BadEvent, Event, EventParser, parse_event
 
 log = logging.getLogger("beechslip.changelog")
 
-SILENCE_S = 2.5  # a comment comes each second
+SILENCE_S = 1.8  # a comment comes each second; what a stopped log would tell counts as told after 4 s
 AGAIN_S = 0.1
-DIAL_S = 1.0
+DIAL_S = 0.8
 
 
 class ChangeLog:
-    """Follows the change log from a number on and posts what it tells. Each event is told once."""
+    """Follows the change log from a number on and posts what it tells. Each event is told once, in order."""
 
     def __init__(self, address: Address, last: int, post: Callable[[Listing | Purged], None],
                  counters: Counters) -> None:
-        self._url = f"http://{address}/changes"
         self.last, self._post, self._counters = last, post, counters
+        self._address = address
+        self._moved = asyncio.Event()
+        self._doubted = 0  # the number after which the stream was last given up as unreadable or with a gap
+
+    def move(self, address: Address) -> None:
+        """Go on at another address, from the number reached."""
+        if address != self._address:
+            self._address = address
+            self._moved.set()
 
     async def run(self) -> None:
         timeout = aiohttp.ClientTimeout(total=None, connect=DIAL_S, sock_read=SILENCE_S)
         async with aiohttp.ClientSession(timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(),
                                          trust_env=False, auto_decompress=False) as session:
             while True:
+                self._moved.clear()
+                follow = asyncio.ensure_future(self._follow(session))
+                moved = asyncio.ensure_future(self._moved.wait())
                 try:
-                    await self._follow(session)
+                    # A log that has moved tells nothing more at its old address, but stays open for a while.
+                    await asyncio.wait({follow, moved}, return_when=asyncio.FIRST_COMPLETED)
+                    if follow.done():
+                        follow.result()
                 except (aiohttp.ClientError, OSError, TimeoutError, BadEvent) as error:
                     log.info("change log: %r", error)
+                finally:
+                    for task in (follow, moved):
+                        task.cancel()
+                    await asyncio.gather(follow, moved, return_exceptions=True)
                 self._counters.add("changelog.reconnects")
-                await asyncio.sleep(AGAIN_S)
+                if not self._moved.is_set():
+                    with contextlib.suppress(TimeoutError):
+                        await asyncio.wait_for(self._moved.wait(), AGAIN_S)
 
     async def _follow(self, session: aiohttp.ClientSession) -> None:
         parser = EventParser()
         headers = {"Last-Event-ID": str(self.last), "Accept": "text/event-stream"}
-        async with session.get(self._url, headers=headers, allow_redirects=False) as response:
+        url = f"http://{self._address}/changes"
+        async with session.get(url, headers=headers, allow_redirects=False) as response:
             if response.status != 200:
                 raise BadEvent(f"status {response.status}")
             async for chunk in response.content.iter_any():
                 for event in parser.feed(chunk):
-                    self.take(*parse_event(event))
+                    self._read(event)
+
+    def _read(self, event: Event) -> None:
+        """Take one event as it came. What can't be read is asked for once more, then passed over.
+
+        Guards against a log that would be asked for the same unreadable event for ever, with all that comes
+        after it never told.
+        """
+        try:
+            seq, news = parse_event(event)
+        except BadEvent as error:
+            if not self._asked_again():
+                raise
+            self._counters.add("changelog.unreadable")
+            log.warning("change log: an event after %d is passed over: %s", self.last, error)
+            if event.id.isascii() and event.id.isdigit() and len(event.id) < 19:
+                self.last = max(self.last, int(event.id))
+            return
+        if seq > self.last + 1 and not self._asked_again():
+            raise BadEvent(f"{seq} follows {self.last}")
+        self.take(seq, news)
+
+    def _asked_again(self) -> bool:
+        """Whether what follows the last number was asked for a second time; if not, it is about to be."""
+        again, self._doubted = self._doubted == self.last + 1, self.last + 1
+        return again
 
     def take(self, seq: int, news: list[Listing | Purged]) -> None:
         """Post an event's news, unless it was told before: the stream may repeat some on a reconnect."""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -195,6 +195,35 @@
         assert (await one.end())[0] == 0
 
 
+@run
+async def test_sighup_moves_to_the_new_change_log_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async with program(tmp_path) as one:
+        process = await one.start(EDGE_CONFIG=str(one.write_config()))
+        await one.ready()
+
+        async def said(what: bytes) -> None:
+            while what not in await process.stderr.readline():  # type: ignore[union-attr]
+                assert process.returncode is None
+
+        new, old = StandLog(), one.log
+        server = await asyncio.start_server(new.serve, "127.0.0.1", 0)
+        new.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        (tmp_path / "config.json").write_text("{")
+        process.send_signal(signal.SIGHUP)
+        await said(b"is not used")
+        old.tell(2, fleet={"snapshot": False, "endpoints": [line(one.depots[0], "leaving")]})
+        await said(b"a 127.0.0.1")
+        one.log = new
+        one.write_config()
+        process.send_signal(signal.SIGHUP)
+        new.tell(3, fleet={"snapshot": False, "endpoints": [line(one.depots[1], "leaving")]})
+        await said(b"b 127.0.0.1")
+        assert (old.asked, new.asked) == (["1"], ["2"])  # from the number reached
+        code, last = await one.end()
+        assert code == 0 and "reloads=1" in last
+        server.close()
+
+
 @run
 async def test_counters_are_printed_on_request(tmp_path: Path) -> None:
     async with program(tmp_path) as one:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -401,6 +401,41 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
+class TellingLog(StandDepot):
+    """A change log whose script is one whole stream a connection."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.seen.append(await read_message(reader))
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+        writer.write(head + (self.script.pop(0) if len(self.script) > 1 else self.script[0]))
+        writer.close()
+
+
+def purge(seq: int) -> bytes:
+    return b'id: %d\ndata: {"seq":%d,"invalidate":{"object":"%d","time":1}}\n\n' % (seq, seq, seq)
+
+
+@run
+@pytest.mark.parametrize(("streams", "told", "asked"), [
+    ([purge(4) + purge(5)[:30], purge(5)], "45", ["3", "4"]),  # breaks off partway through an event
+    ([purge(4) * 2 + purge(5), b""], "45", ["3", "5"]),  # writes events twice
+    ([purge(5), purge(4) + purge(5)], "45", ["3", "3"]),  # a gap: asked for again
+    ([purge(5), purge(5) + purge(6)], "56", ["3", "3"]),  # a gap that stays is no gap
+    ([b"id: 4\ndata: {\n\n" + purge(5)] * 2, "5", ["3", "3"]),  # can't be read, twice: passed over
+])
+async def test_the_change_log_is_told_once_in_order_whatever_the_stream_does(
+        streams: list[bytes], told: str, asked: list[str]) -> None:
+    log, got = TellingLog("log", *streams, b""), list[Any]()
+    async with listening(log):
+        host, port = log.address.split(":")
+        task = asyncio.create_task(ChangeLog(Address(host, int(port)), 3, got.append, Counters()).run())
+        await until(lambda: len(log.seen) > len(streams))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+    assert "".join(one.object for one in got) == told
+    assert [fields["Last-Event-ID"] for _, fields, _ in log.seen][:2] == asked
+
+
 def test_the_set_clock_runs_alarms_in_order_as_it_passes_them() -> None:
     clock, rang = ManualClock(0.0), list[tuple[str, float]]()
 
