--- a/beechslip/doorman.py
+++ b/beechslip/doorman.py
@@ -59,7 +59,8 @@
             last, news = parse_known(config.known)
         except BadEvent as error:
             raise ConfigError(f"known: {error}") from None
-        front = HttpFront(settings, self.clock, client, engine.post, self.counters)
+        front = HttpFront(settings, self.clock, client, engine.post, self.counters,
+                          config.sockets)
         names = None
         if config.dns is not None:
             from beechslip.dns.front import DnsFront  # on the platform it is off, and dnspython stays out
@@ -81,6 +82,7 @@
             log.info("%s listens on %s", config.name, config.listen)
             await self._serve(tasks)
             await asyncio.sleep(LINGER_S)
+            front.drain()
             await engine.quiet.wait()
         finally:
             await front.close()
--- a/beechslip/platform/parse.py
+++ b/beechslip/platform/parse.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qsl, quote, unquote
@@ -10,11 +10,12 @@
 import orjson
 
 from aldershed.interface import Settings
+from beechslip.clock import to_ms
 from beechslip.core.model import Call, Depot, Ended, Listing, Order, Payload, Purged
 
 MOST_BODY = 48_000  # bytes that a write carries
 MOST_ANSWER = 240_000  # bytes of an object
-MOST_WAIT_MS = 600_000.0
+MOST_WAIT_MS = 60_000.0  # beyond this it is no client's wait; it is held to its class's time anyway
 MOST_EVENT = 4_000_000  # bytes of one event of the change log
 
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
@@ -25,6 +26,11 @@
 # or `cpu` for the same figure, and a word that is missing here would hide it from the module.
 STATS = {"util": "busy", "cpu": "busy", "inflight": "held", "active": "held", "x0": "hit_share", "x1": "link"}
 
+# Fields that are said once: the request's own, and those that say where it ends.
+SINGLE = frozenset({b"content-length", b"transfer-encoding", b"host", b"req-id", b"req-wait-ms", b"req-token",
+                    b"x-set", b"req-kb", b"if-none-match"})
+SIZE_SLACK = 10.0  # no part can be had whose sending takes this many times the time of its class
+
 _ID = re.compile(r"[0-9a-f]{16}\Z")
 _NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?\Z")
 _WHOLE = re.compile(r"[0-9]{1,9}\Z")
@@ -53,6 +59,29 @@
     return value
 
 
+def check_fields(fields: Iterable[tuple[bytes, bytes]]) -> None:
+    """Refuse a head that two readers could understand differently; raises BadRequest.
+
+    Guards against a request hidden in another's body: one reader goes by Content-Length, the next by
+    Transfer-Encoding, and what is body to one is a second request to the other. So with two lengths, and
+    with two ids or keys, of which the depot might take the other one.
+    """
+    told = set[bytes]()
+    for name, value in fields:
+        key = name.lower()
+        if key not in SINGLE:
+            continue
+        if key in told:
+            raise BadRequest(400, "a field is repeated")
+        told.add(key)
+        if key == b"content-length" and not (value.isdigit() and len(value) <= 18):
+            raise BadRequest(400, "Content-Length can't be read")
+        if key == b"transfer-encoding" and value.strip().lower() != b"chunked":
+            raise BadRequest(400, "Transfer-Encoding can't be read")
+    if b"content-length" in told and b"transfer-encoding" in told:
+        raise BadRequest(400, "both Content-Length and Transfer-Encoding")
+
+
 def parse_call(method: str, target: str, headers: Mapping[str, str], body: bytes, arrived_ms: float,
                settings: Settings) -> Call:
     """``/rpc/CLASS/OBJECT?slice=PART`` and its headers; raises BadRequest."""
@@ -70,6 +99,11 @@
     if not _WHOLE.match(part):
         raise BadRequest(400, "slice can't be read")
     wait_ms = float(_field(headers, "Req-Wait-Ms", _NUMBER))
+    if wait_ms > MOST_WAIT_MS:
+        raise BadRequest(400, "Req-Wait-Ms is out of range")
+    size_kb = float(_field(headers, "Req-Kb", _NUMBER, "0"))
+    if rule.deadline and size_kb > settings.flow_kb_s * rule.deadline * SIZE_SLACK > 0:
+        raise BadRequest(400, "Req-Kb is out of range")  # it would spoil the module's means of sizes
     tag = headers.get("If-None-Match", "").strip()
     match = _TAG.match(tag)
     group = int(_field(headers, "X-Set", _WHOLE, "0"))
@@ -77,7 +111,7 @@
         raise BadRequest(400, "X-Set can't be read")
     return Call(
         id=_field(headers, "Req-Id", _ID), class_name=class_name, object=name, part=int(part), group=group,
-        size_kb=float(_field(headers, "Req-Kb", _NUMBER, "0")), wait_ms=min(wait_ms, MOST_WAIT_MS),
+        size_kb=size_kb, wait_ms=min(wait_ms, to_ms(rule.deadline) or MOST_WAIT_MS),
         arrived_ms=arrived_ms, write=rule.write, body=body,
         token=_field(headers, "Req-Token", _TOKEN, ""), tag=match.group(1) if match else "",
     )
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -114,7 +114,8 @@
 class Stand:
     """The doorman's parts on a clock that tests set, before stand-in depots."""
 
-    def __init__(self, *depots: StandDepot, module: Any = None) -> None:
+    def __init__(self, *depots: StandDepot, module: Any = None, sockets: int = 90) -> None:
+        self.sockets = sockets
         self.depots, self.settings = depots, read_settings(SETTINGS)
         self.clock, self.counters = ManualClock(), Counters()
         self.module: Any = module or Router(self.settings, 1)
@@ -123,11 +124,12 @@
     async def __aenter__(self) -> Stand:
         self._servers = listening(*self.depots)
         await self._servers.__aenter__()
-        self.client = DepotClient(self.settings, 90)
+        self.client = DepotClient(self.settings, self.sockets)
         self.engine = Engine(self.settings, self.module, self.clock, self.client, self.counters)
         self.engine.step(Listing("all", tuple(depot.entry() for depot in self.depots)))
         self._task = asyncio.create_task(self.engine.run())
-        self.front = HttpFront(self.settings, self.clock, self.client, self.engine.post, self.counters)
+        self.front = HttpFront(self.settings, self.clock, self.client, self.engine.post, self.counters,
+                               self.sockets)
         await self.front.start(Address("127.0.0.1", 0))
         self.port = self.front.port
         return self
--- a/tests/test_parse.py
+++ b/tests/test_parse.py
@@ -40,7 +40,10 @@
     ("GET", "/rpc/plot/7f3a", {"Req-Id": "short"}, 400),
     ("GET", "/rpc/plot/7f3a", {"Req-Wait-Ms": "nan"}, 400),
     ("GET", "/rpc/plot/7f3a", {"Req-Wait-Ms": "-1"}, 400), ("GET", "/rpc/plot/7f3a", {"X-Set": "256"}, 400),
-    ("GET", "/rpc/plot/7f3a", {"Req-Kb": "1e9"}, 400), ("GET", "/rpc/plot/7f3a", {"Req-Token": "a b"}, 400),
+    ("GET", "/rpc/plot/7f3a", {"Req-Kb": "1e9"}, 400), ("GET", "/rpc/plot/7f3a", {"Req-Kb": "-4"}, 400),
+    ("GET", "/rpc/plot/7f3a", {"Req-Kb": "999999999"}, 400),
+    ("GET", "/rpc/plot/7f3a", {"Req-Wait-Ms": "60001"}, 400),
+    ("GET", "/rpc/plot/7f3a", {"Req-Token": "a b"}, 400),
 ])
 def test_a_bad_request_is_told_why(method: str, target: str, fields: dict[str, str], status: int) -> None:
     with pytest.raises(p.BadRequest) as caught:
@@ -48,6 +51,29 @@
     assert caught.value.status == status
 
 
+def test_a_wait_beyond_the_classs_time_is_held_to_it() -> None:
+    call = p.parse_call("GET", "/rpc/plot/7f3a", GOOD | {"Req-Wait-Ms": "9000"}, b"", 0.0, RULES)
+    assert call.wait_ms == 2500.0
+
+
+@pytest.mark.parametrize(("fields", "fine"), [
+    ([(b"Host", b"x"), (b"Accept", b"a"), (b"accept", b"b"), (b"Content-Length", b"3")], True),
+    ([(b"Transfer-Encoding", b"Chunked")], True),
+    ([(b"Content-Length", b"3"), (b"Transfer-Encoding", b"chunked")], False),
+    ([(b"transfer-encoding", b"chunked"), (b"content-length", b"0")], False),
+    ([(b"Content-Length", b"3"), (b"content-length", b"3")], False),
+    ([(b"Content-Length", b"-1")], False), ([(b"Content-Length", b"+3")], False),
+    ([(b"Content-Length", b"3, 3")], False), ([(b"Content-Length", b"9" * 19)], False),
+    ([(b"Transfer-Encoding", b"gzip, chunked")], False), ([(b"Transfer-Encoding", b"identity")], False),
+    ([(b"Req-Id", b"a"), (b"req-id", b"b")], False), ([(b"Req-Token", b"a"), (b"Req-Token", b"a")], False),
+])
+def test_a_head_that_reads_in_two_ways_is_refused(fields: list[tuple[bytes, bytes]], fine: bool) -> None:
+    if fine:
+        return p.check_fields(fields)
+    with pytest.raises(p.BadRequest):
+        p.check_fields(fields)
+
+
 @pytest.mark.parametrize("missing", GOOD)
 def test_a_request_needs_its_id_and_its_wait(missing: str) -> None:
     with pytest.raises(p.BadRequest):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -295,11 +296,75 @@
     (b"GET / HTTP/1.1\r\n" + b"A: b\r\n" * 9000 + b"\r\n", 400),
     (b"PUT /rpc/pick-submit/7f HTTP/1.1\r\nHost: x\r\nContent-Length: 48001\r\n\r\n", 413),
     (b"PUT /rpc/pick-submit/7f HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+    (b"PUT /rpc/pick-submit/7f HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+     b"0\r\n\r\nPUT /rpc/pick-submit/8 HTTP/1.1\r\nHost: x\r\nReq-Id: 9b1f03aa5c7e2d41\r\n"
+     b"Req-Wait-Ms: 900\r\n\r\n", 400),
+    (b"PUT /rpc/pick-submit/7f HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4"
+     b"\r\n\r\nabcd", 400),
 ])
 async def test_bad_input_gets_a_4xx_and_the_program_goes_on(raw: bytes, status: int) -> None:
     async with Stand(*boxes()) as stand:
         assert (await fetch(stand.port, raw=raw))[0] == status
         assert (await stand.ask())[0] == 200 and stand.counters["bad_request"] == 1
+        assert stand.counters["taken"] == 1  # and nothing of it was passed on
+
+
+@run
+@pytest.mark.parametrize(("sent", "ms", "count"), [
+    (b"", 2500, "closed.partial"), (b"GET /rpc/plot/7f HTTP/1.1\r\nHo", 2500, "closed.partial"),
+    (b"PUT /rpc/pick-submit/7f HTTP/1.1\r\nHost: x\r\nReq-Id: 9b1f03aa5c7e2d41\r\nReq-Wait-Ms: 900\r\n"
+     b"Content-Length: 9\r\n\r\nab", 2500, "closed.partial"),
+    (b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n", 5300, "closed.idle"),
+])
+async def test_a_connection_that_owes_a_request_or_is_idle_is_closed(
+        sent: bytes, ms: float, count: str) -> None:
+    async with Stand(*boxes()) as stand:
+        reader, writer = await asyncio.open_connection("127.0.0.1", stand.port)
+        writer.write(sent)
+        if count == "closed.idle":
+            await reader.readuntil(b"ok")
+        await until(lambda: stand.front._server._open)
+        stand.clock.advance(ms - 700)
+        assert not reader.at_eof() and stand.counters[count] == 0
+        stand.clock.advance(700)
+        with contextlib.suppress(ConnectionResetError):  # closed with bytes unread
+            assert await reader.read() == b""
+        assert stand.counters[count] == 1
+        writer.transport.abort()
+
+
+@run
+async def test_over_the_bound_the_longest_idle_connection_goes_and_never_an_open_request() -> None:
+    async with Stand(*boxes(HANG), sockets=6) as stand:  # room for three clients
+        asked = stand.ask(Req_Id="9b1f03aa5c7e2d41")
+        await until(lambda: stand.counters["taken"])
+        idle = list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]()
+        for _ in range(4):
+            stand.clock.advance(10)
+            idle.append(await asyncio.open_connection("127.0.0.1", stand.port))
+            await until(lambda: len(stand.front._server._open) + stand.counters["closed.room"] > len(idle))
+        assert [await reader.read() for reader, _ in idle[:2]] == [b"", b""]
+        assert stand.counters["closed.room"] == 2 and len(stand.front._server._open) == 3
+        assert not asked.done()
+        asked.cancel()
+        for _, writer in idle:
+            writer.transport.abort()
+
+
+@run
+async def test_a_front_that_drains_refuses_what_still_comes_and_answers_what_is_open() -> None:
+    async with Stand(*boxes(HANG), module=Plan("a")) as stand:
+        asked = stand.ask(wait_ms=2000)
+        await until(lambda: stand.counters["taken"])
+        reader, writer = await asyncio.open_connection("127.0.0.1", stand.port)
+        await until(lambda: len(stand.front._server._open) == 2)
+        stand.front.drain()
+        writer.write(b"GET /rpc/plot/7f HTTP/1.1\r\nHost: x\r\nReq-Id: 9b1f03aa5c7e2d42\r\nReq-Wait-Ms: 900"
+                     b"\r\n\r\n")
+        assert (await read_message(reader))[0].split()[1] == "503"
+        stand.clock.advance(1999)
+        assert (await asked)[0] == 504 and stand.counters["taken"] == 1
+        writer.transport.abort()
 
 
 @run
