--- a/aldershed/logic.py
+++ b/aldershed/logic.py
@@ -340,7 +340,10 @@
         cache, source, result, note = flight.cache, flight.source, outcome.result, outcome.note
         if held is None or cache not in self.caches or held.rule.write:
             return
-        late = result in ("full", "timeout") or (result == "ok" and outcome.elapsed > self.aim(held))
+        slow = outcome.elapsed > self.aim(held)
+        if result == "timeout" and not slow:
+            return  # the client's patience was short: that says nothing of how much is borne here
+        late = result in ("full", "timeout") or (result == "ok" and slow)
         most, failed = LATE_SHARE if self.set.tells else BLIND_LATE, note in FILL_FAULTS
         if source is not None and (failed or (note != "hit" and result in ("ok", "timeout"))):
             jammed = late or failed or outcome.report.get("link", 0.0) > LINK_FULL
@@ -514,7 +517,9 @@
             keep=1 if plain and cache in self.caches else 0, max_age=max_age if plain else 0.0,
             join=plain and self.set.joins, renew=plain and fresh > 0 and source is not None,
         ))
-        self.set_timer(min(self.patience(held), left), (held.ask.request, flight.number))
+        # One that ends before it is overdue is not checked: a hurried client is no sign of a silent store.
+        if self.patience(held) < left:
+            self.set_timer(self.patience(held), (held.ask.request, flight.number))
 
     def aim(self, held: Held) -> float:
         rule = held.rule
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -1,6 +1,7 @@
 """The module's rules and its answers to each kind of symptom, through its public interface."""
 from __future__ import annotations
 
+import math
 import os
 import random
 import subprocess
@@ -472,6 +473,18 @@
     assert bool(finals(stage.end(("r", 0), result))) == ended
 
 
+def test_a_hurried_client_is_no_sign_of_load_or_of_a_silent_store() -> None:
+    stage = Stage()
+    home = home_of(stage, "/a")
+    stage.end(("r1", 0), "ok", "hit")
+    for n in range(30):
+        stage.ask("/a", name=f"h{n}", left=0.06)
+        stage.wait(0.06)
+        stage.end((f"h{n}", 0), "timeout")
+    store = stage.router.stores[home]
+    assert not store.ejected and store.room == math.inf and stage.router.fill_share == 1.0
+
+
 def test_when_every_cache_looks_bad_requests_still_go_somewhere() -> None:
     stage = Stage()
     for n in range(40):
