--- a/aldershed/logic.py
+++ b/aldershed/logic.py
@@ -341,7 +341,7 @@
         if held is None or cache not in self.caches or held.rule.write:
             return
         slow = outcome.elapsed > self.aim(held)
-        if result == "timeout" and not slow:
+        if result == "timeout" and outcome.elapsed <= self.aim(held) / 2.0:
             return  # the client's patience was short: that says nothing of how much is borne here
         late = result in ("full", "timeout") or (result == "ok" and slow)
         most, failed = LATE_SHARE if self.set.tells else BLIND_LATE, note in FILL_FAULTS
