Refuse fork, programs, IPv6 and sendfile in a serving doorman, as the fleet platform does

Need: the standing fleet test runs each doorman under a system-call filter that refuses starting programs, fork, io_uring, splice and sendfile, and sockets other than TCP/UDP over IPv4. The program uses none on its serving path today (checked: the agent's launcher is the only subprocess call and it is not on that path; aiohttp uses sendfile only for file answers, which the doorman never gives; listeners bind numeric IPv4 addresses), but nothing kept it so.

--- a/beechslip/__main__.py
+++ b/beechslip/__main__.py
@@ -6,6 +6,11 @@
 
     sys.exit(cli.main())
 
-from beechslip import doorman
+# A serving doorman starts no programs and uses no sendfile: refused here before aiohttp is imported.
+from beechslip.platform.confine import confine
+
+confine()
+
+from beechslip import doorman  # noqa: E402
 
 sys.exit(doorman.main())
