Shared duties, groundwork: SWIM membership, rendezvous owners, leases, UDP peers

Change: beechslip/duties/ (pure: membership.py SWIM with suspicion and incarnations, assign.py rendezvous hashing over a sorted index, node.py owner/standby takeover, leases against double owners, token-bucket schedule; codec.py protobuf envelope within the platform's 256-byte datagram; I/O: peers.py UDP, shared.py behind the engine's Prober interface; sim.py fleet stand-in on one clock). deploy/duties.toml, off. tests/test_bounds.py for the module's tables.

--- a/beechslip/doorman.py
+++ b/beechslip/doorman.py
@@ -9,21 +9,27 @@
 import signal
 import sys
 from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import TYPE_CHECKING
 
 from aldershed.interface import Settings
 from aldershed.logic import Router
 from beechslip.clock import Alarm, Clock, SystemClock
 from beechslip.config import Config, ConfigError, read_config, reread_config
 from beechslip.core.engine import Engine
-from beechslip.core.model import Retuned
+from beechslip.core.model import Prober, Retuned
 from beechslip.core.retune import BIND_MS, overlap
 from beechslip.counters import Counters
+from beechslip.duties.settings import DUTIES_FILE, read_duties
 from beechslip.platform.changelog import ChangeLog
 from beechslip.platform.depots import DepotClient
 from beechslip.platform.front import HttpFront
 from beechslip.platform.ops import OpsFront
 from beechslip.platform.parse import BadEvent, parse_known
 
+if TYPE_CHECKING:
+    from beechslip.duties.peers import Peers  # imported only where duties are on: protobuf stays out
+
 log = logging.getLogger("beechslip")
 
 # After SIGTERM new connections keep coming for up to 0.4 s and requests on open ones for 0.2 s more.
@@ -81,7 +87,19 @@
     async def run(self) -> None:
         config, settings = self.config, self.config.settings
         client = DepotClient(settings, config.sockets, self.clock, self.counters)
-        engine = Engine(settings, Router(settings, config.seed), self.clock, client, self.counters)
+        posted: list[Callable[[object], None]] = []
+        prober: Prober = client
+        peers: Peers | None = None
+        told = os.environ.get("EDGE_DUTIES")
+        duties = read_duties(Path(told) if told else DUTIES_FILE)
+        if duties is not None:
+            # Probes shared among the fleet (docs/ops/duties.md); off in deploy/duties.toml on the platform.
+            from beechslip.duties.start import shared_probes
+
+            prober, peers = shared_probes(duties, config, client, self.clock, self.counters,
+                                          lambda message: posted[0](message))
+        engine = Engine(settings, Router(settings, config.seed), self.clock, prober, self.counters)
+        posted.append(engine.post)
         try:
             last, news = parse_known(config.known)
         except BadEvent as error:
@@ -110,6 +128,8 @@
                 await ops.start(config.ops)  # before all else: a call has an answer from the start on
             if names is not None:
                 await names.start()
+            if peers is not None:
+                await peers.start()
             for one in news:
                 engine.post(one)
             if config.changelog is not None:
@@ -130,6 +150,8 @@
             await ops.close()
             if names is not None:
                 await names.close()
+            if peers is not None:
+                peers.stop()
             for task in reversed(tasks):
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/beechslip/duties/assign.py
@@ -0,0 +1,84 @@
+"""Which member owns a duty: rendezvous (highest random weight) hashing, with ranked standbys.
+
+Source: D. Thaler and C. Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", IEEE/ACM ToN 1998.
+
+Every member computes the same weight for a (duty, member) pair, whatever else it knows; the owner of a duty
+is the live member of highest weight, the standbys are the next ``k - 1``. When a member dies only its own
+duties move, each to its first standby, so the load of a dead member spreads evenly over the others (a ring
+with virtual nodes does the same only in the mean over its points).
+
+:class:`Assignment` keeps, for each duty, every known member in order of weight (a ``SortedKeyList``): a
+member learned of costs one weight and one insertion per duty; a death costs nothing, as the first ``k`` live
+members are found by walking the order past the dead. Rankings are asked for with a predicate for "alive".
+"""
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import mmh3
+from sortedcontainers import SortedKeyList
+
+
+def weight(duty: str, member: str) -> int:
+    """The pair's weight: 64 bits of MurmurHash3 (x64, 128-bit variant) of ``duty`` NUL ``member``."""
+    return int(mmh3.hash64(f"{duty}\0{member}".encode(), signed=False)[0])
+
+
+def ranking(duty: str, members: Iterable[str], k: int) -> tuple[str, ...]:
+    """The ``k`` members of highest weight for ``duty``, best first; ties (never seen in 64 bits) by name."""
+    return tuple(sorted(members, key=lambda m: (-weight(duty, m), m))[:k])
+
+
+def _key(entry: tuple[int, str]) -> tuple[int, str]:
+    return (-entry[0], entry[1])
+
+
+class Assignment:
+    """Every known member in order of weight, for each duty. ``k`` is the owner plus its standbys."""
+
+    def __init__(self, duties: Iterable[str], members: Iterable[str] = (), k: int = 2) -> None:
+        if k < 1:
+            raise ValueError("k must be at least 1")
+        self.k = k
+        self.members: set[str] = set()
+        self.order: dict[str, SortedKeyList] = {duty: SortedKeyList(key=_key) for duty in set(duties)}
+        for member in members:
+            self.add(member)
+
+    def add(self, member: str) -> None:
+        if member in self.members:
+            return
+        self.members.add(member)
+        for duty, order in self.order.items():
+            order.add((weight(duty, member), member))
+
+    def remove(self, member: str) -> None:
+        if member not in self.members:
+            return
+        self.members.discard(member)
+        for duty, order in self.order.items():
+            order.discard((weight(duty, member), member))
+
+    def set_duties(self, duties: Iterable[str]) -> None:
+        wanted = set(duties)
+        for duty in [d for d in self.order if d not in wanted]:
+            del self.order[duty]
+        for duty in wanted - set(self.order):
+            self.order[duty] = SortedKeyList(((weight(duty, m), m) for m in self.members), key=_key)
+
+    def ranked(self, duty: str, alive: Callable[[str], bool] = lambda _: True) -> tuple[str, ...]:
+        """The first ``k`` members for ``duty`` that ``alive`` accepts, best first."""
+        chosen: list[str] = []
+        for _, member in self.order.get(duty, ()):
+            if alive(member):
+                chosen.append(member)
+                if len(chosen) == self.k:
+                    break
+        return tuple(chosen)
+
+    def owner(self, duty: str, alive: Callable[[str], bool] = lambda _: True) -> str | None:
+        ranked = self.ranked(duty, alive)
+        return ranked[0] if ranked else None
+
+    def owned_by(self, member: str, alive: Callable[[str], bool] = lambda _: True) -> list[str]:
+        return sorted(duty for duty in self.order if self.owner(duty, alive) == member)
--- /dev/null
+++ b/bench/duties.py
@@ -0,0 +1,99 @@
+"""Measure shared periodic duties on the fleet stand-in: coverage after deaths, duplicates, probe load.
+
+    .venv/bin/python bench/duties.py [--seeds 2] [--out bench/results]
+
+For 10, 50 and 200 members, 100 boxes, and 0 %, 10 % and 30 % of messages lost (a tenth of the rest late by
+up to 2 s): 15 s of steady state, then half of the members die at once, then 20 s more. Every message goes
+through the codec at the platform's 256-byte bound. Writes ``duties.md`` (a table) and ``duties.png``.
+The baseline is every member probing every box once an interval.
+"""
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from beechslip.duties.membership import Tuning
+from beechslip.duties.node import DutyTuning
+from beechslip.duties.sim import Fleet, Net
+
+SIZES = (10, 50, 200)
+LOSSES = (0.0, 0.1, 0.3)
+BOXES = 100
+KILL_MS, END_MS = 15_000.0, 35_000.0
+
+
+def play(size: int, loss: float, seed: int) -> dict[str, float]:
+    fleet = Fleet(size, BOXES, seed=seed, net=Net(loss=loss, late_share=0.1 if loss else 0.0, late_ms=2_000))
+    began = time.perf_counter()
+    fleet.run_until(KILL_MS)
+    steady_dup = fleet.duplicate_share(5_000, KILL_MS)
+    steady_rate = fleet.probe_rate(5_000, KILL_MS)
+    steady_gap = fleet.longest_gap(5_000, KILL_MS)
+    fleet.kill(fleet.names[::2])
+    fleet.run_until(END_MS)
+    return {"gap_after_deaths_ms": fleet.longest_gap(KILL_MS, END_MS), "steady_gap_ms": steady_gap,
+            "duplicates": steady_dup, "probes_per_box_s": steady_rate,
+            "baseline_per_box_s": size / (DutyTuning().interval_ms / 1000.0),
+            "datagrams_per_member_s": fleet.sent / size / (END_MS / 1000.0),
+            "cpu_s": time.perf_counter() - began}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", type=int, default=2)
+    parser.add_argument("--out", type=Path, default=Path(__file__).parent / "results")
+    args = parser.parse_args()
+    tuning, duty = Tuning(), DutyTuning()
+    bound = 2 * duty.interval_ms + 4 * tuning.period_ms + tuning.suspect_ms
+    rows: list[tuple[int, float, dict[str, float]]] = []
+    for size in SIZES:
+        for loss in LOSSES:
+            plays = [play(size, loss, seed) for seed in range(1, args.seeds + 1)]
+            worst = {key: max(p[key] for p in plays) for key in plays[0]}
+            rows.append((size, loss, worst))
+            print(size, loss, {k: round(v, 3) for k, v in worst.items()}, flush=True)
+    args.out.mkdir(parents=True, exist_ok=True)
+    lines = [
+        "# Shared periodic duties on the fleet stand-in",
+        "",
+        f"`bench/duties.py --seeds {args.seeds}`: {BOXES} boxes; steady state from 5 s to 15 s, then half",
+        "of the members die at once; the worst of the seeds in each cell. Probe interval "
+        f"{duty.interval_ms:.0f} ms; stated bound on a box's longest wait after deaths {bound:.0f} ms "
+        "(two intervals, four protocol periods and the suspicion time).",
+        "",
+        "| members | loss | longest wait after deaths (ms) | steady longest wait (ms) | duplicate share "
+        "| probes/box/s | baseline probes/box/s | datagrams/member/s |",
+        "| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |",
+    ]
+    for size, loss, w in rows:
+        lines.append(f"| {size} | {loss:.0%} | {w['gap_after_deaths_ms']:.0f} | {w['steady_gap_ms']:.0f} "
+                     f"| {w['duplicates']:.3f} | {w['probes_per_box_s']:.2f} | {w['baseline_per_box_s']:.1f} "
+                     f"| {w['datagrams_per_member_s']:.1f} |")
+    (args.out / "duties.md").write_text("\n".join(lines) + "\n")
+    import matplotlib
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+    figure, (left, right) = plt.subplots(1, 2, figsize=(10, 4))
+    for loss in LOSSES:
+        cells = [(s, w) for s, lo, w in rows if lo == loss]
+        left.plot([s for s, _ in cells], [w["gap_after_deaths_ms"] for _, w in cells], marker="o",
+                  label=f"loss {loss:.0%}")
+        right.plot([s for s, _ in cells], [w["probes_per_box_s"] for _, w in cells], marker="o",
+                   label=f"shared, loss {loss:.0%}")
+    left.axhline(bound, color="grey", linestyle="--", label="stated bound")
+    right.plot(SIZES, [s / (duty.interval_ms / 1000.0) for s in SIZES], color="black", linestyle=":",
+               label="every member probes every box")
+    left.set(xlabel="members", ylabel="longest wait of a box after half die (ms)", xscale="log")
+    right.set(xlabel="members", ylabel="probes per box per second", xscale="log", yscale="log")
+    left.legend()
+    right.legend()
+    figure.tight_layout()
+    figure.savefig(args.out / "duties.png", dpi=90)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_bounds.py
@@ -0,0 +1,61 @@
+"""Every table of the module keyed by request, copy, class or depot has a bound or an end.
+
+The soak day of the fleet test prices memory that grows over 45 minutes; these tests drive tens of
+thousands of distinct requests and copies through one router and look at the size of each table after.
+"""
+from __future__ import annotations
+
+import pytest
+from helpers import Stage, attempts, entries
+
+from aldershed import interface as i
+
+
+def _serve(stage: Stage, count: int, size: float = 400.0, result: str = "ok") -> None:
+    """``count`` requests, each for a copy of its own, each attempt answered ``result`` 10 ms later."""
+    for n in range(count):
+        stage.ask(f"/copy{n}", size=size, group=n)
+        while stage.out:
+            key = next(iter(stage.out))
+            stage.now += 0.01
+            stage.end(key, result, "filled")
+        stage.wait(0.0)
+
+
+def test_tables_by_request_end_with_the_request() -> None:
+    stage = Stage()
+    _serve(stage, 3_000)
+    router = stage.router
+    assert not router.held and not router.flights
+    stage.wait(60.0)  # timers of ended attempts end when they come due
+    assert not router.timers
+
+
+def test_tables_by_request_end_also_when_every_attempt_fails() -> None:
+    stage = Stage()
+    _serve(stage, 500, result="error")
+    stage.wait(30.0)
+    assert not stage.router.held and not stage.router.flights
+
+
+def test_remembered_sending_times_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("aldershed.logic.MOST_SIZES", 100)
+    stage = Stage()
+    _serve(stage, 1_000, size=0.0)  # sizes not told: the router learns each copy's sending time
+    assert 0 < len(stage.router.seen_work) <= 100
+
+
+def test_tables_by_class_and_depot_stay_within_the_settings_and_the_list() -> None:
+    stage = Stage()
+    _serve(stage, 1_000)
+    for rule in ("small", "order", "big"):
+        stage.ask("/x", rule=rule)
+    router = stage.router
+    assert set(router.mean_work) <= set(stage.router.set.classes)
+    assert set(router.tardy) <= set(stage.router.set.classes)
+    listed = entries()
+    assert set(router.stores) == {entry.store for entry in listed}
+    # A new list that drops depots drops what was kept of them.
+    stage.give(i.StoreList("all", listed[:3]))
+    assert set(router.stores) == {entry.store for entry in listed[:3]}
+    assert all(a.store in router.stores for a in attempts(stage.ask("/y")))
