Duties on in three real doormans: probes divided among them; one TOML reader for parts

Tests: three doorman processes on loopback with duties on, the settings file, the shared prober's stand-in rule.

--- a/beechslip/config.py
+++ b/beechslip/config.py
@@ -68,15 +68,22 @@
     told: Mapping[str, Any] = field(default_factory=dict)  # the file as it was read, but for what is known
 
 
-def read_dns(path: Path) -> DnsConfig | None:
-    """The DNS front's file; None where it is absent or says ``enabled = false``."""
+def read_enabled(path: Path) -> dict[str, Any] | None:
+    """An operator's TOML file for a part that is off unless it says ``enabled = true``; ``None`` where it is
+    absent or off; ConfigError where it can't be read."""
     try:
         table = tomllib.loads(path.read_text())
     except FileNotFoundError:
         return None
     except (OSError, ValueError) as error:
         raise ConfigError(f"{path.name}: {error}") from None
-    if table.get("enabled") is not True:
+    return table if table.get("enabled") is True else None
+
+
+def read_dns(path: Path) -> DnsConfig | None:
+    """The DNS front's file; None where it is absent or says ``enabled = false``."""
+    table = read_enabled(path)
+    if table is None:
         return None
     try:
         return DnsConfig(str(table["zone"]), parse_address(str(table["listen"])),
--- a/beechslip/duties/settings.py
+++ b/beechslip/duties/settings.py
@@ -1,12 +1,11 @@
 """The operators' file for shared duties, ``deploy/duties.toml`` (or the file that ``EDGE_DUTIES`` names)."""
 from __future__ import annotations
 
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from beechslip.config import Address, ConfigError, parse_address
+from beechslip.config import Address, ConfigError, parse_address, read_enabled
 from beechslip.duties.membership import Tuning
 from beechslip.duties.node import DutyTuning
 
@@ -31,13 +30,8 @@
 
 def read_duties(path: Path = DUTIES_FILE) -> DutiesConfig | None:
     """The file's settings; ``None`` where it is absent or not ``enabled``; :class:`ConfigError` if wrong."""
-    try:
-        table = tomllib.loads(path.read_text())
-    except FileNotFoundError:
-        return None
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"{path.name}: {error}") from None
-    if table.get("enabled") is not True:
+    table = read_enabled(path)
+    if table is None:
         return None
     try:
         listen = parse_address(str(table["listen"]))
@@ -46,7 +40,7 @@
             raise ConfigError("seeds must be a list of addresses")
         for seed in seeds:
             parse_address(str(seed))
-        standbys = table.get("standbys", 1)
+        standbys = table.get("standbys", 2)
         if not isinstance(standbys, int) or isinstance(standbys, bool) or not 0 <= standbys <= 8:
             raise ConfigError("standbys must be a whole number from 0 to 8")
         indirect = table.get("indirect", 3)
--- a/tests/test_duties_wire.py
+++ b/tests/test_duties_wire.py
@@ -4,18 +4,24 @@
 import asyncio
 import contextlib
 import socket
+from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from stand import run
 
+from aldershed import interface as i
 from beechslip.clock import ManualClock
+from beechslip.config import ConfigError
+from beechslip.core.model import Depot, Ended
 from beechslip.counters import Counters
 from beechslip.duties.codec import MOST_BYTES, CodecError, decode, encode
 from beechslip.duties.membership import Membership, Message, Report, State, Update
 from beechslip.duties.node import DutyNode
 from beechslip.duties.peers import Peers
+from beechslip.duties.settings import read_duties
+from beechslip.duties.shared import SharedProber
 
 FLEET = "test-fleet"
 
@@ -126,3 +132,55 @@
 def test_a_bare_message_over_the_bound_is_refused() -> None:
     with pytest.raises(CodecError):
         encode(Message("ping", "x" * 300, 1), FLEET)
+
+
+def test_the_shipped_file_is_off_and_a_wrong_one_is_refused_by_name(tmp_path: Path) -> None:
+    assert read_duties() is None  # deploy/duties.toml as shipped
+    good = tmp_path / "duties.toml"
+    good.write_text('enabled = true\nfleet = "f"\nlisten = "127.0.0.1:7946"\nseeds = ["127.0.0.1:7947"]\n'
+                    "standbys = 1\nindirect = 5\nsuspect_ms = 3000\n")
+    read = read_duties(good)
+    assert read is not None and read.duty.k == 2 and read.tuning.indirect == 5
+    assert read.tuning.suspect_ms == 3000.0 and read.seeds == ("127.0.0.1:7947",)
+    for wrong, named in (('listen = "nowhere"', "address"), ("interval_ms = 0", "interval_ms"),
+                         ("standbys = -1", "standbys"), ('seeds = "x"', "seeds")):
+        bad = tmp_path / "bad.toml"
+        bad.write_text(f'enabled = true\nlisten = "127.0.0.1:7946"\n{wrong}\n'.replace(
+            'listen = "127.0.0.1:7946"\nlisten', "listen"))
+        with pytest.raises(ConfigError, match=named):
+            read_duties(bad)
+
+
+class _Inner:
+    """A prober stand-in: counts the probes it is asked for and answers ``ok``."""
+
+    def __init__(self) -> None:
+        self.probed: list[str] = []
+
+    async def probe(self, depot: Depot) -> Ended:
+        self.probed.append(depot.name)
+        return Ended("ok")
+
+    def follow(self, depots: object) -> None:
+        pass
+
+
+@run
+async def test_a_fresh_report_of_another_answers_the_modules_probe_and_reaches_it() -> None:
+    clock, posted, inner = ManualClock(), list[object](), _Inner()
+    node = DutyNode(Membership("me", clock.now_ms(), ("other",)), ())
+    shared = SharedProber(inner, node, clock, Counters(), posted.append)
+    depots = [Depot(f"box{n}", f"127.0.0.1:{9000 + n}") for n in range(6)]
+    shared.follow(depots)
+    theirs = next(d for d in depots if node.rank(d.name) != 0)
+    mine = next(d for d in depots if node.rank(d.name) == 0)
+    now = clock.now_ms()
+    node.receive(now, Message("report", "other", 0, reports=(Report(theirs.name, "other", now, True),
+                                                              Report(mine.name, "other", now, True))))
+    assert (await shared.probe(theirs)).result == "ok" and inner.probed == []  # answered by the report
+    assert (await shared.probe(mine)).result == "ok" and inner.probed == [mine.name]  # an owner probes
+    clock.advance(node.tuning.interval_ms + 1)
+    await shared.probe(theirs)
+    assert inner.probed == [mine.name, theirs.name]  # the report went stale
+    shared.heard(Report(theirs.name, "other", now, False))
+    assert posted == [i.ProbeResult(theirs.name, "error")]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -305,3 +305,38 @@
             while True:
                 await fetch(one.port, "/health")
         store.close()
+
+
+@run
+async def test_three_doormans_with_shared_duties_divide_the_probes_among_them(tmp_path: Path) -> None:
+    async with program(tmp_path) as first:
+        ports = [free_port() for _ in range(3)]
+        peers = [f"127.0.0.1:{free_port()}" for _ in range(3)]
+        doormans = [first]
+        for n in range(1, 3):
+            other = Program(tmp_path / f"n{n}")
+            other.folder.mkdir()
+            other.depots, other.log = first.depots, first.log
+            doormans.append(other)
+        for n, one in enumerate(doormans):
+            one.port = ports[n]
+            duties = one.folder / f"duties{n}.toml"
+            seeds = ", ".join(f'"{peer}"' for peer in peers if peer != peers[n])
+            duties.write_text(f'enabled = true\nfleet = "test"\nlisten = "{peers[n]}"\nseeds = [{seeds}]\n'
+                              "interval_ms = 400\nperiod_ms = 200\n")
+            await one.start(EDGE_CONFIG=str(one.write_config()), EDGE_DUTIES=str(duties))
+        for one in doormans:
+            await one.ready()
+        await asyncio.sleep(4.0)  # real processes on the system clock: a bounded wait, not a poll
+        counts = []
+        for one in doormans:
+            code, said = await one.end()
+            assert code == 0
+            counts.append(dict(word.split("=") for word in said.splitlines()[-1].split() if "=" in word))
+        done = [int(c.get("duties.done", 0)) for c in counts]
+        assert all(int(c.get("duties.received", 0)) > 0 for c in counts)
+        assert all(int(c.get("probe.heard", 0)) > 0 for c in counts)  # others' probes reach each module
+        boxes = len(first.depots)
+        # Each box about once an interval in all, where every doorman probing every box would be three times.
+        assert sum(done) < 2 * boxes * 4.0 / 0.4
+        assert sum(done) > 0.5 * boxes * 4.0 / 0.4
