Leases for fleet-wide tasks: PaxosLease without disk, fencing tokens, census; fleet/ split off

Need: some tasks may be done by one doorman at a time; the duties' leases are a courtesy between two that disagree.

Membership, codec and the one peer socket move from duties/ to fleet/; deploy/fleet.toml, a table a part, replaces deploy/duties.toml (found, it is refused with what to do). Members are named by their numbers, a datagram counts only from its sender's address in `peers`, and a report's time goes as its age: no two machines' clocks are compared. leases/ is pure: acceptor and proposer, node, fence, tasks, census; and the same leases over a store of record by conditional writes. State in counters and in /leases on the operators' port. All of it off as shipped.

--- a/beechslip/clock.py
+++ b/beechslip/clock.py
@@ -27,10 +27,14 @@
 
 
 class Clock(Protocol):
-    """The time of day in Unix milliseconds, and calls at a later time."""
+    """The time of day in Unix milliseconds, a steady time that nobody sets, and calls at a later time."""
 
     def now_ms(self) -> float: ...
 
+    def steady_ms(self) -> float:
+        """ms since some moment of this machine's; no other machine's can be compared with it."""
+        ...
+
     def call_later(self, delay_ms: float, call: Callable[[], None]) -> Alarm: ...
 
 
@@ -40,6 +44,10 @@
     def now_ms(self) -> float:
         return time.time() * 1000.0
 
+    def steady_ms(self) -> float:
+        # It counts on while the machine sleeps (a monotonic clock need not): a lease must end meanwhile.
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
     def call_later(self, delay_ms: float, call: Callable[[], None]) -> Alarm:
         return asyncio.get_running_loop().call_later(max(delay_ms, 0.0) / 1000.0, call)
 
@@ -63,6 +71,9 @@
     def now_ms(self) -> float:
         return self._now
 
+    def steady_ms(self) -> float:
+        return self._now
+
     def call_later(self, delay_ms: float, call: Callable[[], None]) -> Alarm:
         alarm = _SetAlarm(call)
         heapq.heappush(self._alarms, (self._now + max(delay_ms, 0.0), next(self._order), alarm))
--- a/beechslip/doorman.py
+++ b/beechslip/doorman.py
@@ -20,7 +20,7 @@
 from beechslip.core.model import Prober, Retuned
 from beechslip.core.retune import BIND_MS, overlap
 from beechslip.counters import Counters
-from beechslip.duties.settings import DUTIES_FILE, read_duties
+from beechslip.fleet.settings import FLEET_FILE, read_fleet, refuse_old
 from beechslip.platform.changelog import ChangeLog
 from beechslip.platform.depots import DepotClient
 from beechslip.platform.front import HttpFront
@@ -28,7 +28,7 @@
 from beechslip.platform.parse import parse_known
 
 if TYPE_CHECKING:
-    from beechslip.duties.peers import Peers  # imported only where duties are on: protobuf stays out
+    from beechslip.peering import Peering  # imported only where the fleet's file is on: protobuf stays out
 
 log = logging.getLogger("beechslip")
 
@@ -49,6 +49,7 @@
         self._tuned: list[Callable[[Settings], None]] = []  # the parts that go by the settings
         self._settings = config.settings
         self._binding: Alarm | None = None  # until what SIGHUP has brought holds alone
+        self._peering: Peering | None = None
 
     def reload(self, environ: Mapping[str, str] | None = None) -> None:
         """Read the configuration file anew: follow the change log where it is now, go by the new settings.
@@ -58,6 +59,7 @@
         """
         try:
             config = reread_config(self.config, environ)
+            self._regroup(config)
         except ConfigError as error:
             self.counters.add("reloads.refused")
             log.error("the new configuration is not used: %s", error)
@@ -69,6 +71,23 @@
             self._reader.move(config.changelog)
             log.info("the change log is at %s, told up to %d", config.changelog, self._reader.last)
 
+    @staticmethod
+    def _fleet_file() -> Path:
+        told = os.environ.get("EDGE_FLEET")
+        return Path(told) if told else FLEET_FILE
+
+    def _regroup(self, config: Config) -> None:
+        """Peers as the configuration and the fleet's file name them now; ConfigError, and nothing changed."""
+        if self._peering is None:
+            return
+        fleet = read_fleet(self._fleet_file(), config)
+        if fleet is None:
+            raise ConfigError("the fleet's file is off now: what it turned on ends with a restart only")
+        from beechslip.peering import settings_digest
+
+        self._peering.reload(fleet)
+        self._peering.settings_digest = settings_digest(config)
+
     def _retune(self, settings: Settings) -> None:
         """Go by old and new settings at once, and by the new ones alone once clients do."""
         if self._binding is not None:
@@ -89,15 +108,16 @@
         client = DepotClient(settings, config.sockets, self.clock, self.counters)
         posted: list[Callable[[object], None]] = []
         prober: Prober = client
-        peers: Peers | None = None
-        told = os.environ.get("EDGE_DUTIES")
-        duties = read_duties(Path(told) if told else DUTIES_FILE)
-        if duties is not None:
-            # Probes shared among the fleet (docs/ops/duties.md); off in deploy/duties.toml on the platform.
-            from beechslip.duties.start import shared_probes
-
-            prober, peers = shared_probes(duties, config, client, self.clock, self.counters,
-                                          lambda message: posted[0](message))
+        refuse_old(os.environ)
+        fleet = read_fleet(self._fleet_file(), config)
+        if fleet is not None:
+            # What doormans do together (docs/ops/fleet.md); off in deploy/fleet.toml on the platform.
+            from beechslip.peering import build
+
+            self._peering = build(fleet, config, client, self.clock, self.counters,
+                                  lambda message: posted[0](message))
+            prober = self._peering.prober
+        peering = self._peering
         engine = Engine(settings, Router(settings, config.seed), self.clock, prober, self.counters)
         posted.append(engine.post)
         last, news, unread = parse_known(config.known)
@@ -114,8 +134,9 @@
             (front.send_away if away else front.welcome)()
             return True
 
+        leases = peering.leases if peering is not None else None
         ops = OpsFront(self.clock, self.counters, lambda: front.taking, lambda: drain(True),
-                       lambda: drain(False))
+                       lambda: drain(False), {"/leases": leases.state} if leases is not None else None)
         names = None
         if config.dns is not None:
             from beechslip.dns.front import DnsFront  # on the platform it is off, and dnspython stays out
@@ -131,8 +152,8 @@
                 await ops.start(config.ops)  # before all else: a call has an answer from the start on
             if names is not None:
                 await names.start()
-            if peers is not None:
-                await peers.start()
+            if peering is not None:
+                await peering.start()
             for one in news:
                 engine.post(one)
             if config.changelog is not None:
@@ -153,8 +174,8 @@
             await ops.close()
             if names is not None:
                 await names.close()
-            if peers is not None:
-                peers.stop()
+            if peering is not None:
+                peering.stop()
             for task in reversed(tasks):
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
--- a/beechslip/duties/shared.py
+++ b/beechslip/duties/shared.py
@@ -12,14 +12,18 @@
 """
 from __future__ import annotations
 
+import asyncio
+import logging
 from collections.abc import Callable, Iterable
 
 from aldershed import interface as i
 from beechslip.clock import Clock, to_seconds
 from beechslip.core.model import Depot, Ended, Prober
 from beechslip.counters import Counters
-from beechslip.duties.membership import Report
 from beechslip.duties.node import DutyNode
+from beechslip.fleet.membership import Message, Report, Send
+
+log = logging.getLogger("beechslip.duties")
 
 
 def stand_in(node: DutyNode, duty: str, now_ms: float) -> Report | None:
@@ -48,12 +52,12 @@
         self._inner.follow(listed)
 
     async def probe(self, depot: Depot) -> Ended:
-        report = stand_in(self.node, depot.name, self._clock.now_ms())
+        report = stand_in(self.node, depot.name, self._clock.steady_ms())
         if report is not None:
             self._counters.add("probe.shared")
             return Ended("ok" if report.ok else "error")
         ended = await self._inner.probe(depot)
-        self.node.done(self._clock.now_ms(), depot.name, ended.result == "ok")
+        self.node.done(self._clock.steady_ms(), depot.name, ended.result == "ok")
         return ended
 
     async def work(self, duty: str) -> bool:
@@ -61,10 +65,10 @@
         depot = self._depots.get(duty)
         if depot is None:
             return False
-        began = self._clock.now_ms()
+        began = self._clock.steady_ms()
         ended = await self._inner.probe(depot)
         self._counters.add(f"probe.{ended.result}")
-        self._post(i.ProbeResult(duty, ended.result, to_seconds(self._clock.now_ms() - began), ended.report))
+        self._post(i.ProbeResult(duty, ended.result, to_seconds(self._clock.steady_ms() - began), ended.report))
         return ended.result == "ok"
 
     def heard(self, report: Report) -> None:
@@ -72,3 +76,44 @@
         if report.duty in self._depots:
             self._counters.add("probe.heard")
             self._post(i.ProbeResult(report.duty, "ok" if report.ok else "error"))
+
+
+class DutyPart:
+    """The duties as a part behind the peer socket: starts the probes that the schedule names, and hands the
+    reports of others on. Owns its running probes; ``stop`` ends them."""
+
+    kinds = frozenset({"ping", "ack", "ping-req", "report"})
+
+    def __init__(self, shared: SharedProber, clock: Clock, counters: Counters) -> None:
+        self._shared, self.node, self._clock, self._counters = shared, shared.node, clock, counters
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def tick(self, now_ms: float) -> list[Send]:
+        sends, start = self.node.tick(now_ms)
+        for duty in start:
+            task = asyncio.get_running_loop().create_task(self._do(duty))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        return sends
+
+    def receive(self, now_ms: float, message: Message) -> list[Send]:
+        sends, fresh = self.node.receive(now_ms, message)
+        for report in fresh:
+            self._shared.heard(report)
+        return sends
+
+    def stop(self, now_ms: float) -> list[Send]:
+        for task in self._tasks:
+            task.cancel()
+        return self.node.membership.leave()
+
+    async def _do(self, duty: str) -> None:
+        ok = False
+        try:
+            ok = await self._shared.work(duty)
+        except Exception:
+            self._counters.add("fault.duty")
+            log.exception("duty %s", duty)
+        finally:
+            self.node.done(self._clock.steady_ms(), duty, ok)
+            self._counters.add("duties.done")
--- a/beechslip/duties/sim.py
+++ b/beechslip/duties/sim.py
@@ -17,9 +17,9 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from beechslip.duties.codec import decode, encode
-from beechslip.duties.membership import Membership, Message, Send, Tuning
 from beechslip.duties.node import DutyNode, DutyTuning
+from beechslip.fleet.codec import decode, encode
+from beechslip.fleet.membership import Membership, Message, Send, Tuning
 
 
 @dataclass
@@ -127,7 +127,7 @@
             return
         message = send.message
         if self.wire:
-            message = decode(encode(message, "sim"), "sim")
+            message = decode(encode(message, "sim", self.now), "sim", self.now)
         delay = self.net.delay_ms
         if self.rng.random() < self.net.late_share:
             delay += self.rng.uniform(0, self.net.late_ms)
--- a/beechslip/duties/codec.py
+++ b/beechslip/fleet/codec.py
@@ -4,15 +4,16 @@
 generated module or compiler is needed; it reads as::
 
     syntax = "proto3";
-    package beechslip.duties;
+    package beechslip.fleet;
     message Update { string member = 1; uint64 incarnation = 2; uint32 state = 3; }
-    message Report { string duty = 1; string prober = 2; double at_ms = 3; bool ok = 4; bool owner = 5; }
+    message Report { string duty = 1; string prober = 2; double age_ms = 3; bool ok = 4; bool owner = 5; }
     message Envelope {
       uint32 version = 1; string fleet = 2; string kind = 3; string sender = 4; uint64 seq = 5;
-      string target = 6; repeated Update updates = 7; repeated Report reports = 8;
+      string target = 6; repeated Update updates = 7; repeated Report reports = 8; bytes body = 9;
     }
 
-``fleet`` keeps two fleets that share a port apart. :func:`decode` raises :class:`CodecError` for anything
+A report's time goes as its age: no time of one machine is compared with a time of another. ``fleet`` keeps
+two fleets that share a port apart. :func:`decode` raises :class:`CodecError` for anything
 that is not a whole envelope of this version and fleet, within the bounds below; the caller counts and drops
 it.
 """
@@ -23,12 +24,12 @@
 from google.protobuf import descriptor_pb2, descriptor_pool, message_factory
 from google.protobuf.message import DecodeError
 
-from beechslip.duties.membership import Message, Report, State, Update
+from beechslip.fleet.membership import Message, Report, State, Update
 
-VERSION = 1
+VERSION = 2
 MOST_BYTES = 256  # the platform's bound on a datagram between doormans (a longer one voids a run)
 MOST_NAME = 128
-KINDS = frozenset({"ping", "ack", "ping-req", "report"})
+KINDS = frozenset({"ping", "ack", "ping-req", "report", "lease", "act"})
 
 
 class CodecError(ValueError):
@@ -37,7 +38,7 @@
 
 def _schema() -> tuple[type, type, type]:
     f = descriptor_pb2.FieldDescriptorProto
-    file = descriptor_pb2.FileDescriptorProto(name="beechslip/duties.proto", package="beechslip.duties",
+    file = descriptor_pb2.FileDescriptorProto(name="beechslip/fleet.proto", package="beechslip.fleet",
                                               syntax="proto3")
 
     def message(name: str, fields: list[tuple[str, int, int, str]]) -> None:
@@ -51,16 +52,17 @@
     message("Update", [("member", 1, f.TYPE_STRING, ""), ("incarnation", 2, f.TYPE_UINT64, ""),
                        ("state", 3, f.TYPE_UINT32, "")])
     message("Report", [("duty", 1, f.TYPE_STRING, ""), ("prober", 2, f.TYPE_STRING, ""),
-                       ("at_ms", 3, f.TYPE_DOUBLE, ""), ("ok", 4, f.TYPE_BOOL, ""),
+                       ("age_ms", 3, f.TYPE_DOUBLE, ""), ("ok", 4, f.TYPE_BOOL, ""),
                        ("owner", 5, f.TYPE_BOOL, "")])
     message("Envelope", [("version", 1, f.TYPE_UINT32, ""), ("fleet", 2, f.TYPE_STRING, ""),
                          ("kind", 3, f.TYPE_STRING, ""), ("sender", 4, f.TYPE_STRING, ""),
                          ("seq", 5, f.TYPE_UINT64, ""), ("target", 6, f.TYPE_STRING, ""),
-                         ("updates", 7, f.TYPE_MESSAGE, "*.beechslip.duties.Update"),
-                         ("reports", 8, f.TYPE_MESSAGE, "*.beechslip.duties.Report")])
+                         ("updates", 7, f.TYPE_MESSAGE, "*.beechslip.fleet.Update"),
+                         ("reports", 8, f.TYPE_MESSAGE, "*.beechslip.fleet.Report"),
+                         ("body", 9, f.TYPE_BYTES, "")])
     pool = descriptor_pool.DescriptorPool()
     pool.Add(file)
-    classes = [message_factory.GetMessageClass(pool.FindMessageTypeByName(f"beechslip.duties.{name}"))
+    classes = [message_factory.GetMessageClass(pool.FindMessageTypeByName(f"beechslip.fleet.{name}"))
                for name in ("Envelope", "Update", "Report")]
     return classes[0], classes[1], classes[2]
 
@@ -68,17 +70,17 @@
 Envelope, _Update, _Report = _schema()
 
 
-def encode(message: Message, fleet: str, most: int = MOST_BYTES) -> bytes:
+def encode(message: Message, fleet: str, now_ms: float = 0.0, most: int = MOST_BYTES) -> bytes:
     """One datagram of at most ``most`` bytes: piggybacked updates and reports are dropped from the end until
     it fits. :class:`CodecError` if even the bare envelope does not (names too long for the bound)."""
     updates, reports = list(message.updates), list(message.reports)
     while True:
         envelope = Envelope(version=VERSION, fleet=fleet, kind=message.kind, sender=message.sender,
-                            seq=message.seq, target=message.target)
+                            seq=message.seq, target=message.target, body=message.body)
         for u in updates:
             envelope.updates.add(member=u.member, incarnation=u.incarnation, state=int(u.state))
         for r in reports:
-            envelope.reports.add(duty=r.duty, prober=r.prober, at_ms=r.at_ms, ok=r.ok, owner=r.owner)
+            envelope.reports.add(duty=r.duty, prober=r.prober, age_ms=now_ms - r.at_ms, ok=r.ok, owner=r.owner)
         data: bytes = envelope.SerializeToString()
         if len(data) <= most:
             return data
@@ -87,7 +89,7 @@
         (reports if len(reports) >= len(updates) else updates).pop()
 
 
-def decode(data: bytes, fleet: str, most: int = MOST_BYTES) -> Message:
+def decode(data: bytes, fleet: str, now_ms: float = 0.0, most: int = MOST_BYTES) -> Message:
     """The message in ``data``; :class:`CodecError` if it is not a whole, bounded envelope of ``fleet``."""
     if len(data) > most:
         raise CodecError(f"{len(data)} bytes, over {most}")
@@ -110,8 +112,9 @@
         updates = tuple(Update(u.member, int(u.incarnation), State(u.state)) for u in envelope.updates)
     except ValueError:
         raise CodecError("unknown state") from None
-    if any(not math.isfinite(r.at_ms) for r in envelope.reports):
+    if any(not math.isfinite(r.age_ms) for r in envelope.reports):
         raise CodecError("a report's time is not a number")
-    reports = tuple(Report(r.duty, r.prober, float(r.at_ms), bool(r.ok), bool(r.owner))
+    reports = tuple(Report(r.duty, r.prober, now_ms - float(r.age_ms), bool(r.ok), bool(r.owner))
                     for r in envelope.reports)
-    return Message(envelope.kind, envelope.sender, int(envelope.seq), envelope.target, updates, reports)
+    return Message(envelope.kind, envelope.sender, int(envelope.seq), envelope.target, updates, reports,
+                   bytes(envelope.body))
--- a/beechslip/duties/membership.py
+++ b/beechslip/fleet/membership.py
@@ -60,9 +60,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Message:
-    """One datagram's content. ``kind`` is ``ping``, ``ack``, ``ping-req`` or ``report``; ``target`` is
-    whom a ping-req or its ack concerns; ``seq`` pairs a ping with its ack; ``updates`` and ``reports`` are
-    piggybacked (the duty layer fills ``reports``)."""
+    """One datagram's content. ``kind`` is ``ping``, ``ack``, ``ping-req``, ``report``, ``lease`` or ``act``;
+    ``target`` is whom a ping-req or its ack concerns; ``seq`` pairs a ping with its ack; ``updates`` and
+    ``reports`` are piggybacked (the duty layer fills ``reports``); ``body`` is another part's own message,
+    which only that part reads."""
 
     kind: str
     sender: str
@@ -70,6 +71,7 @@
     target: str = ""
     updates: tuple[Update, ...] = ()
     reports: tuple[Report, ...] = ()
+    body: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/beechslip/platform/ops.py
+++ b/beechslip/platform/ops.py
@@ -1,10 +1,11 @@
-"""Where operators call: readiness, drain and activate, at an address of their own."""
+"""Where operators call: readiness, drain and activate, and pages, at an address of their own."""
 from __future__ import annotations
 
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
 
+import orjson
 from aiohttp import web
 
 from beechslip.clock import Alarm, Clock
@@ -20,12 +21,15 @@
 CLOSE_S = 0.2
 
 Act = Callable[[], bool]
+Page = Callable[[], Mapping[str, object]]
 
 
 class OpsFront:
-    """Owns the second address; one call to a connection. A call's act says yes or no."""
+    """Owns the second address; one call to a connection. A call's act says yes or no; a page is JSON."""
 
-    def __init__(self, clock: Clock, counters: Counters, ready: Act, drain: Act, activate: Act) -> None:
+    def __init__(self, clock: Clock, counters: Counters, ready: Act, drain: Act, activate: Act,
+                 pages: Mapping[str, Page] | None = None) -> None:
+        self._pages = pages or {}
         self._calls: Mapping[tuple[str, str], Act] = {
             ("GET", "/v1/readyz"): ready,
             ("POST", "/v1/doorman/drain"): drain,
@@ -49,12 +53,15 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         act = self._calls.get((request.method, request.path))
-        if act is not None:
+        page = self._pages.get(request.path)
+        if page is not None and request.method == "GET":
+            status, text = 200, orjson.dumps(page()).decode()
+        elif act is not None:
             yes = act()
             status, text = (200, "yes") if yes else (503, "no")
             if request.method == "POST":
                 log.info("operators called %s: %s", request.path, text)
-        elif any(path == request.path for _, path in self._calls):
+        elif page is not None or any(path == request.path for _, path in self._calls):
             status, text = 405, "not a method of this call"
         else:
             status, text = 404, "no such call"
--- a/bench/duties.py
+++ b/bench/duties.py
@@ -16,9 +16,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from beechslip.duties.membership import Tuning
 from beechslip.duties.node import DutyTuning
 from beechslip.duties.sim import Fleet, Net
+from beechslip.fleet.membership import Tuning
 
 SIZES = (10, 50, 200)
 LOSSES = (0.0, 0.1, 0.3)
--- a/tests/stand.py
+++ b/lab/stand.py
@@ -1,9 +1,12 @@
-"""The shared helper of the socket tests: stand-ins for depots, change log and clients, all on loopback."""
+"""Stand-ins for depots, change log and clients, all on loopback: for the tests and for the lab."""
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import functools
+import json
+import random
+import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
 
@@ -79,7 +82,7 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             while True:
                 message = await read_message(reader)
                 self.seen.append(message)
@@ -154,6 +157,55 @@
         return asyncio.create_task(fetch(self.port, **how))
 
 
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+
+
+class StandLog:
+    """A change log that tells what the test queues, with a comment now and then."""
+
+    def __init__(self) -> None:
+        self.queue: asyncio.Queue[bytes] = asyncio.Queue()
+        self.asked: list[str] = []
+        self.address = ""
+
+    def tell(self, seq: int, **news: Any) -> None:
+        self.queue.put_nowait(b"id: %d\ndata: %s\n\n" % (seq, json.dumps({"seq": seq, **news}).encode()))
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # A stream server reports a cancelled handler as an error: it ends quietly instead.
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            self.asked.append((await read_message(reader))[1]["Last-Event-ID"])
+            writer.write(HEAD)
+            while not writer.is_closing():
+                try:
+                    writer.write(await asyncio.wait_for(self.queue.get(), 0.2))
+                except TimeoutError:
+                    writer.write(b":\n\n")
+                await writer.drain()
+
+
+def line(depot: StandDepot, status: str = "active") -> dict[str, Any]:
+    return {"name": depot.name, "address": depot.address, "zone": depot.zone, "type": depot.kind, "group": 0,
+            "status": status, "weight": 1, "since_ms": 0}
+
+
+_given: set[int] = set()
+
+
+def free_port() -> int:
+    """A port that nobody holds, from below those that the system gives out, and never the same twice."""
+    while True:
+        port = random.randrange(15_000, 32_000)
+        if port in _given:
+            continue
+        with (contextlib.suppress(OSError), socket.socket() as tcp,
+              socket.socket(type=socket.SOCK_DGRAM) as udp):
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+            _given.add(port)
+            return port
+
+
 _ids = iter(range(1, 1 << 60))
 
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -12,7 +12,7 @@
 from beechslip.agent.agent import Agent
 from beechslip.clock import ManualClock
 from beechslip.store import Instance, Store, open_store
-from tests.stand import run, until
+from lab.stand import run, until
 
 
 class Played:
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -26,7 +26,7 @@
 from beechslip.counters import Counters
 from beechslip.dns import messages as m
 from beechslip.dns.front import DnsFront, Lookup
-from tests.stand import SETTINGS, run, until
+from lab.stand import SETTINGS, run, until
 
 ZONE = "feeds.caroni.example."
 CUT_OFF_MS, HOLD_MS, WAIT_MS = 500.0, 1000.0, 1500.0
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 
 from beechslip.duties.assign import Assignment, ranking, weight
-from beechslip.duties.membership import Member, Membership, Message, State, Tuning, Update, _overrides
 from beechslip.duties.node import DutyNode, DutyTuning
 from beechslip.duties.sim import Fleet, Net
+from beechslip.fleet.membership import Member, Membership, Message, State, Tuning, Update, _overrides
 
 INTERVAL = DutyTuning().interval_ms
 DETECT = 6 * Tuning().period_ms + Tuning().suspect_ms  # stated failure-detection bound
--- a/tests/test_duties_wire.py
+++ b/tests/test_duties_wire.py
@@ -5,35 +5,58 @@
 import contextlib
 import socket
 from pathlib import Path
+from typing import cast
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from stand import run
 
 from aldershed import interface as i
+from aldershed.adapter import read_settings
 from beechslip.clock import ManualClock
-from beechslip.config import ConfigError
+from beechslip.config import Address, Config, ConfigError
 from beechslip.core.model import Depot, Ended
 from beechslip.counters import Counters
-from beechslip.duties.codec import MOST_BYTES, CodecError, decode, encode
-from beechslip.duties.membership import Membership, Message, Report, State, Update
 from beechslip.duties.node import DutyNode
-from beechslip.duties.peers import Peers
 from beechslip.duties.settings import read_duties
-from beechslip.duties.shared import SharedProber
+from beechslip.duties.shared import DutyPart, SharedProber
+from beechslip.fleet.codec import MOST_BYTES, CodecError, decode, encode
+from beechslip.fleet.membership import Membership, Message, Report, State, Update
+from beechslip.fleet.peers import Peers, member_name
+from beechslip.fleet.settings import FLEET_FILE, read_fleet, refuse_old
+from beechslip.leases.settings import read_leases
+from lab.stand import SETTINGS, run, until
 
 FLEET = "test-fleet"
 
 
-def _free_ports(count: int) -> list[int]:
-    holders = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    for holder in holders:
+def _address() -> Address:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as holder:
         holder.bind(("127.0.0.1", 0))
-    ports = [holder.getsockname()[1] for holder in holders]
-    for holder in holders:
-        holder.close()
-    return ports
+        return Address("127.0.0.1", holder.getsockname()[1])
+
+
+class _Shared:
+    """What a duty part needs of a shared prober: duties that are done at once, reports that are kept."""
+
+    def __init__(self, node: DutyNode) -> None:
+        self.node, self.done, self.reports = node, list[str](), list[Report]()
+
+    async def work(self, duty: str) -> bool:
+        self.done.append(duty)
+        return True
+
+    def heard(self, report: Report) -> None:
+        self.reports.append(report)
+
+
+def _peers(number: int, addresses: list[Address], duties: tuple[str, ...],
+           clock: ManualClock) -> tuple[Peers, _Shared]:
+    names = tuple(member_name(n) for n in range(len(addresses)))
+    node = DutyNode(Membership(names[number], clock.steady_ms(), names, incarnation=1), duties)
+    shared, counters = _Shared(node), Counters()
+    part = DutyPart(cast(SharedProber, shared), clock, counters)
+    return Peers(FLEET, number, addresses[number], addresses, [part], clock, counters), shared
 
 
 async def _pass(clock: ManualClock, ms: float, step: float = 50.0) -> None:
@@ -46,62 +69,50 @@
 
 @run
 async def test_members_on_loopback_share_probes_and_take_over_from_one_that_stops() -> None:
-    clock = ManualClock()
-    names = [f"127.0.0.1:{port}" for port in _free_ports(4)]
+    clock, addresses = ManualClock(), [_address() for _ in range(4)]
     duties = tuple(f"box{n}" for n in range(12))
-    done: dict[str, list[str]] = {name: [] for name in names}
-    heard: dict[str, list[Report]] = {name: [] for name in names}
-    peers: dict[str, Peers] = {}
-    for name in names:
-        async def work(duty: str, name: str = name) -> bool:
-            done[name].append(duty)
-            return True
-        view = Membership(name, clock.now_ms(), tuple(names), incarnation=1)
-        peers[name] = Peers(DutyNode(view, duties), FLEET, clock, Counters(), work, heard[name].append)
-        await peers[name].start()
+    peers, shared = zip(*(_peers(n, addresses, duties, clock) for n in range(4)), strict=True)
     try:
+        for one in peers:
+            await one.start()
         await _pass(clock, 10_000)
-        assert all(peers[n].counters["duties.received"] > 0 for n in names)
-        recent = {n: len(done[n]) for n in names}
+        assert all(one.counters["fleet.received"] > 0 for one in peers)
+        recent = sum(len(one.done) for one in shared)
         await _pass(clock, 6_000)
-        per_box = sum(len(done[n]) - recent[n] for n in names) / len(duties) / 6.0
+        per_box = (sum(len(one.done) for one in shared) - recent) / len(duties) / 6.0
         assert per_box < 0.8  # about one probe an interval (2 s), not one per member: 4 members
-        assert all(heard[n] for n in names)  # each heard of probes that others made
-        gone = names[0]
-        peers[gone].stop()
-        before = {n: len(done[n]) for n in names[1:]}
+        assert all(one.reports for one in shared)  # each heard of probes that others made
+        peers[0].stop()
+        before = [len(one.done) for one in shared]
         await _pass(clock, 8_000)
-        taken = {d for n in names[1:] for d in done[n][before[n]:]}
-        assert taken == set(duties)  # the stopped member's boxes too
-        assert all(peers[n].node.membership.state_of(gone) is State.DEAD for n in names[1:])
+        assert {d for one, was in zip(shared[1:], before[1:], strict=True) for d in one.done[was:]} == set(duties)
+        assert all(one.node.membership.state_of("d0") is State.DEAD for one in shared[1:])
     finally:
-        for name in names:
-            peers[name].stop()
+        for one in peers:
+            one.stop()
 
 
 @run
 async def test_bad_and_foreign_datagrams_are_counted_and_dropped() -> None:
-    clock = ManualClock()
-    (port,) = _free_ports(1)
-    name = f"127.0.0.1:{port}"
-    counters = Counters()
-
-    async def work(duty: str) -> bool:
-        return True
-    peer = Peers(DutyNode(Membership(name, clock.now_ms()), ("a",)), FLEET, clock, counters, work, print)
+    clock, addresses = ManualClock(), [_address(), _address()]
+    peer, _ = _peers(0, addresses, ("a",), clock)
     await peer.start()
-    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sender, member = (socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(2))
+    member.bind((addresses[1].host, addresses[1].port))
+    good = encode(Message("ping", "d1", 1), FLEET)
+    old = good.replace(b"\x08\x02", b"\x08\x01", 1)  # the version is the first field
     try:
-        good = encode(Message("ping", "127.0.0.1:9", 1), FLEET)
-        for data in (b"", b"\xff" * 40, good[:-3], encode(Message("ping", "x:9", 1), "other"), b"x" * 600):
-            sender.sendto(data, ("127.0.0.1", port))
-        for _ in range(50):
-            await asyncio.sleep(0.001)  # real datagrams need real time to arrive; bounded
-            if counters["duties.bad"] >= 4:
-                break
-        assert counters["duties.bad"] >= 4
+        for data in (b"", b"\xff" * 40, good[:-3], old, encode(Message("ping", "d1", 1), "other"), b"x" * 600):
+            member.sendto(data, (addresses[0].host, addresses[0].port))
+        sender.sendto(good, (addresses[0].host, addresses[0].port))  # not from the member's address
+        member.sendto(encode(Message("ping", "d0", 1), FLEET), (addresses[0].host, addresses[0].port))
+        await until(lambda: peer.counters["fleet.bad"] >= 6 and peer.counters["fleet.foreign"] >= 2)
+        assert peer.counters["fleet.received"] == 0
+        member.sendto(good, (addresses[0].host, addresses[0].port))
+        await until(lambda: peer.counters["fleet.received"] == 1)
     finally:
         sender.close()
+        member.close()
         peer.stop()
 
 
@@ -134,21 +145,49 @@
         encode(Message("ping", "x" * 300, 1), FLEET)
 
 
-def test_the_shipped_file_is_off_and_a_wrong_one_is_refused_by_name(tmp_path: Path) -> None:
-    assert read_duties() is None  # deploy/duties.toml as shipped
-    good = tmp_path / "duties.toml"
-    good.write_text('enabled = true\nfleet = "f"\nlisten = "127.0.0.1:7946"\nseeds = ["127.0.0.1:7947"]\n'
-                    "standbys = 1\nindirect = 5\nsuspect_ms = 3000\n")
-    read = read_duties(good)
-    assert read is not None and read.duty.k == 2 and read.tuning.indirect == 5
-    assert read.tuning.suspect_ms == 3000.0 and read.seeds == ("127.0.0.1:7947",)
-    for wrong, named in (('listen = "nowhere"', "address"), ("interval_ms = 0", "interval_ms"),
-                         ("standbys = -1", "standbys"), ('seeds = "x"', "seeds")):
-        bad = tmp_path / "bad.toml"
-        bad.write_text(f'enabled = true\nlisten = "127.0.0.1:7946"\n{wrong}\n'.replace(
-            'listen = "127.0.0.1:7946"\nlisten', "listen"))
-        with pytest.raises(ConfigError, match=named):
-            read_duties(bad)
+CONFIG = Config("n", Address("127.0.0.1", 1), 0, read_settings(SETTINGS), told={
+    "peers": ["127.0.0.1:7946", "127.0.0.1:7947", "127.0.0.1:7948"], "peer_listen": "127.0.0.1:7000"})
+
+
+def test_the_shipped_file_is_off_and_what_it_holds_can_be_used(tmp_path: Path) -> None:
+    assert read_fleet(FLEET_FILE, CONFIG) is None
+    on = tmp_path / "on.toml"
+    on.write_text(FLEET_FILE.read_text().replace("enabled = false", "enabled = true"))
+    fleet = read_fleet(on, CONFIG)
+    assert fleet is not None and fleet.listen == Address("127.0.0.1", 7000) and len(fleet.peers) == 3
+    duties, leases = read_duties(fleet), read_leases(fleet)
+    assert duties is not None and duties.k == 3 and leases is not None and leases.sets == (3,)
+
+
+@pytest.mark.parametrize(("told", "named"), [
+    ('listen = "nowhere"', "listen"), ('peers = "x"', "peers"), ("number = 9", "number"), ("odd = 1", "odd"),
+    ('peers = ["127.0.0.1:1", "127.0.0.1:1"]', "twice"), ("tick_ms = true", "tick_ms"),
+    ("[duties]\nenabled = true\ninterval_ms = 0", "duties: interval_ms"), ("[duties]\nenabled = 1", "enabled"),
+    ("[duties]\nenabled = true\nstandbys = -1", "standbys"), ("[membership]\nindirect = 99", "indirect"),
+    ("[leases]\nenabled = true\nmargin_ms = 3000", "margin_ms"), ("leases = 1", "leases must be a table"),
+    ("[leases]\nenabled = true\nlongest_ms = 100", "longest_ms"), ("[census]\nenabled = true", "lease"),
+    ("[leases]\nenabled = true\nmembers = 7", "no majority"), ("[leases]\nenabled = true\nbefore = 6", "before"),
+    ("[leases]\nenabled = true\ndrift = 0.5", "drift"), ("[leases]\nenabled = true\nlease_ms = 301", "margin_ms"),
+    ('[leases]\nenabled = true\ndrills = ["census"]', "drills"),
+    ("[leases]\nenabled = true\nlease_ms = 500\nmargin_ms = 240", "lease_ms"),
+])
+def test_a_wrong_fleet_file_is_refused_by_name(tmp_path: Path, told: str, named: str) -> None:
+    bad = tmp_path / "bad.toml"
+    bad.write_text(f"enabled = true\n{told}\n")
+    with pytest.raises(ConfigError, match=named):
+        fleet = read_fleet(bad, CONFIG)
+        assert fleet is not None
+        read_duties(fleet)
+        read_leases(fleet)
+
+
+def test_the_file_that_came_before_is_refused_with_what_to_do(tmp_path: Path) -> None:
+    refuse_old({}, tmp_path / "duties.toml")
+    with pytest.raises(ConfigError, match="EDGE_FLEET"):
+        refuse_old({"EDGE_DUTIES": "x"}, tmp_path / "duties.toml")
+    (tmp_path / "duties.toml").write_text("enabled = false\n")
+    with pytest.raises(ConfigError, match=r"duties\.toml is no longer read"):
+        refuse_old({}, tmp_path / "duties.toml")
 
 
 class _Inner:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -16,7 +16,7 @@
 import pytest
 
 from beechslip.config import ConfigError, read_config
-from tests.stand import HANG, SETTINGS, Stand, StandDepot, fetch, read_message, run, until
+from lab.stand import HANG, SETTINGS, Stand, StandDepot, fetch, read_message, run, until
 from tests.test_program import ROOT, Program, free_port, line, program
 
 READY = ("/v1/readyz", "GET")
--- a/tests/test_parse.py
+++ b/tests/test_parse.py
@@ -11,7 +11,7 @@
 from beechslip.core.model import Call, Depot, Ended, Listing, Order, Payload, Purged
 from beechslip.platform import parse as p
 from beechslip.platform.answers import Answer, AnswerParser, Spoilt
-from tests.stand import SETTINGS
+from lab.stand import SETTINGS
 
 RULES = read_settings(SETTINGS)
 GOOD = {"Req-Id": "9b1f03aa5c7e2d41", "Req-Wait-Ms": "1500"}
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -20,46 +19,22 @@
 from beechslip.config import read_config
 from beechslip.platform import front
 from beechslip.store import Instance, open_store
-from tests.stand import HANG, OK, SETTINGS, StandDepot, fetch, listening, read_message, run, until
+from lab.stand import (
+    HANG,
+    OK,
+    SETTINGS,
+    StandDepot,
+    StandLog,
+    fetch,
+    free_port,
+    line,
+    listening,
+    read_message,
+    run,
+    until,
+)
 
 ROOT = Path(__file__).resolve().parent.parent
-HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
-
-
-class StandLog:
-    """A change log that tells what the test queues, with a comment now and then."""
-
-    def __init__(self) -> None:
-        self.queue: asyncio.Queue[bytes] = asyncio.Queue()
-        self.asked: list[str] = []
-        self.address = ""
-
-    def tell(self, seq: int, **news: Any) -> None:
-        self.queue.put_nowait(b"id: %d\ndata: %s\n\n" % (seq, json.dumps({"seq": seq, **news}).encode()))
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            self.asked.append((await read_message(reader))[1]["Last-Event-ID"])
-            writer.write(HEAD)
-            while not writer.is_closing():
-                try:
-                    writer.write(await asyncio.wait_for(self.queue.get(), 0.2))
-                except TimeoutError:
-                    writer.write(b":\n\n")
-                await writer.drain()
-
-
-def line(depot: StandDepot, status: str = "active") -> dict[str, Any]:
-    return {"name": depot.name, "address": depot.address, "zone": depot.zone, "type": depot.kind, "group": 0,
-            "status": status, "weight": 1, "since_ms": 0}
-
-
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 class Program:
     """The world round one doorman, and the doorman as a process."""
 
@@ -329,11 +304,10 @@
             doormans.append(other)
         for n, one in enumerate(doormans):
             one.port = ports[n]
-            duties = one.folder / f"duties{n}.toml"
-            seeds = ", ".join(f'"{peer}"' for peer in peers if peer != peers[n])
-            duties.write_text(f'enabled = true\nfleet = "test"\nlisten = "{peers[n]}"\nseeds = [{seeds}]\n'
-                              "interval_ms = 400\nperiod_ms = 200\n")
-            await one.start(EDGE_CONFIG=str(one.write_config()), EDGE_DUTIES=str(duties))
+            fleet = one.folder / f"fleet{n}.toml"
+            fleet.write_text(f'enabled = true\nname = "test"\nnumber = {n}\npeers = {json.dumps(peers)}\n'
+                             "[membership]\nperiod_ms = 200\n[duties]\nenabled = true\ninterval_ms = 400\n")
+            await one.start(EDGE_CONFIG=str(one.write_config()), EDGE_FLEET=str(fleet))
         for one in doormans:
             await one.ready()
         await asyncio.sleep(4.0)  # real processes on the system clock: a bounded wait, not a poll
@@ -343,7 +317,7 @@
             assert code == 0
             counts.append(dict(word.split("=") for word in said.splitlines()[-1].split() if "=" in word))
         done = [int(c.get("duties.done", 0)) for c in counts]
-        assert all(int(c.get("duties.received", 0)) > 0 for c in counts)
+        assert all(int(c.get("fleet.received", 0)) > 0 for c in counts)
         assert all(int(c.get("probe.heard", 0)) > 0 for c in counts)  # others' probes reach each module
         boxes = len(first.depots)
         # Each box about once an interval in all, where every doorman probing every box would be three times.
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -18,8 +18,8 @@
 from beechslip.core.model import Retuned
 from beechslip.core.retune import BIND_MS, overlap
 from beechslip.doorman import Doorman
+from lab.stand import HANG, OK, RESET, SETTINGS, Stand, fetch, run, until
 from tests.helpers import Stage, attempts
-from tests.stand import HANG, OK, RESET, SETTINGS, Stand, fetch, run, until
 from tests.test_dns import ZONE, DnsStand
 from tests.test_program import program
 from tests.test_rules import Plan, boxes
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,7 +16,7 @@
 from beechslip.core.model import Call, ClientLeft, Depot, Ended, Final, Listing, Purged, Taken
 from beechslip.counters import Counters
 from beechslip.platform.changelog import ChangeLog
-from tests.stand import (
+from lab.stand import (
     COPY,
     HANG,
     OK,
