The lab: real doormans with faults between them, checkers, virtual time, search, planted faults

Need: every fault between processes was simulated inside one process, and no checker was shown to find anything.

python -m lab run|soak|search|report: relays for each directed pair of doormans and each way to a depot or the change log, SIGKILL, SIGSTOP, SIGTERM, restarts, full disks; scenarios as TOML files checked by file and key; histories on the machine's monotonic clock and checkers that read them; the pure parts in virtual time with all faults from a seed; every interleaving of three acceptors and two proposers within bounds; eight planted faults. What it starts ends with it, on SIGKILL too.

--- /dev/null
+++ b/lab/planted.py
@@ -0,0 +1,139 @@
+"""Planted faults: the program broken in known ways, to show that the checkers find them. Never in service.
+
+``plant(name)`` is a context manager that breaks the classes of this process; ``python -m lab.planted NAME``
+starts a doorman that is broken so, for the process scenarios. ``FAULTS`` tells what each one does.
+"""
+from __future__ import annotations
+
+import contextlib
+import sys
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from beechslip.leases import node
+from beechslip.leases.fence import Fence
+from beechslip.leases.messages import Ballot, Kind, LeaseMessage
+from beechslip.leases.paxos import Acceptor, Proposer
+
+Patch = tuple[Any, str, Any]
+
+
+def _no_quiet() -> list[Patch]:
+    def begin(self: node.LeaseNode) -> None:
+        original(self)
+        self.quiet_until_ms = 0.0
+        for acceptor in self.acceptors.values():
+            acceptor.quiet_until_ms = 0.0
+    original = node.LeaseNode.__post_init__
+    return [(node.LeaseNode, "__post_init__", begin)]
+
+
+def _timer_at_answer() -> list[Patch]:
+    def take(self: Proposer, now_ms: float) -> None:
+        self.began_ms = now_ms
+        original(self, now_ms)
+    original = Proposer._take
+    return [(Proposer, "_take", take)]
+
+
+def _majority_of_living() -> list[Patch]:
+    """Members not heard from within a lease time are taken for dead, and not counted."""
+    heard: dict[tuple[str, int], dict[str, float]] = {}
+
+    def receive(self: Proposer, now_ms: float, sender: str, got: LeaseMessage) -> Any:
+        heard.setdefault((self.me, self.life), {})[sender] = now_ms
+        return original(self, now_ms, sender, got)
+
+    def enough(self: Proposer, members: frozenset[str]) -> bool:
+        times = heard.get((self.me, self.life), {})
+        now = max(times.values(), default=0.0)
+        living = [m for m, t in times.items() if now - t < self.tuning.lease_ms]
+        return 2 * len(members) > len(living)
+    original = Proposer.receive
+    return [(Proposer, "receive", receive), (Proposer, "_enough", enough)]
+
+
+def _no_guard() -> list[Patch]:
+    """Who has ever held a lease goes on acting under its last token."""
+    last: dict[tuple[str, int, str], int] = {}
+
+    def held(self: Proposer, now_ms: float, margin_ms: float | None = None) -> int | None:
+        key = (self.me, self.life, self.name)
+        if self.token:
+            last[key] = self.token
+        return last.get(key)
+    return [(Proposer, "held", held)]
+
+
+def _no_fence() -> list[Patch]:
+    def take(self: Fence, name: str, token: int, holder: str) -> bool:
+        return True
+    return [(Fence, "take", take)]
+
+
+def _any_promise() -> list[Patch]:
+    """An acceptor that has forgotten its promise accepts all the same, as in the paper: a promise from before
+    its restart, heard late, then counts though it no longer binds."""
+    def answer(self: Acceptor, now_ms: float, sender: str, ask: LeaseMessage) -> Any:
+        if ask.kind is Kind.PROPOSE and ask.round >= (self.promised.round if self.promised else 0):
+            self.promised = Ballot(ask.round, ask.life, sender)
+        return original(self, now_ms, sender, ask)
+    original = Acceptor.answer
+    return [(Acceptor, "answer", answer)]
+
+
+def _one_set() -> list[Patch]:
+    """A doorman goes by the new declared set alone, at once."""
+    def bind(self: Proposer, sets: tuple[int, ...]) -> None:
+        if self.sets != sets[-1:]:
+            self.sets, self.ballot, self.opened, self.accepts = sets[-1:], None, frozenset(), frozenset()
+            self.give_up()
+    return [(Proposer, "bind", bind)]
+
+
+def _low_tokens() -> list[Patch]:
+    """Rounds begin at 1 after every start, and acceptors tell nobody what they know."""
+    def begin(self: node.LeaseNode) -> None:
+        self.hint = 0
+        original(self)
+    original = node.LeaseNode.__post_init__
+    return [(node.LeaseNode, "__post_init__", begin)]
+
+
+FAULTS: dict[str, tuple[str, Callable[[], list[Patch]]]] = {
+    "no-quiet": ("an acceptor answers at once after a restart", _no_quiet),
+    "timer-at-answer": ("the holder's timer starts when a majority has accepted", _timer_at_answer),
+    "majority-of-living": ("a majority of the members heard from of late is enough", _majority_of_living),
+    "no-guard": ("acts go on under the last token without asking the lease", _no_guard),
+    "no-fence": ("a taker takes every token", _no_fence),
+    "any-promise": ("an acceptor accepts a ballot that it did not promise in this life", _any_promise),
+    "one-set": ("the new declared set alone counts from the moment it is heard of", _one_set),
+    "low-tokens": ("rounds begin at 1 after every start", _low_tokens),
+}
+
+
+@contextlib.contextmanager
+def plant(name: str) -> Iterator[None]:
+    """Break the program as ``name`` says, until the block ends; "": leave it whole. KeyError if unknown."""
+    patches = FAULTS[name][1]() if name else []
+    before = [(owner, attribute, owner.__dict__[attribute]) for owner, attribute, _ in patches]
+    for owner, attribute, value in patches:
+        setattr(owner, attribute, value)
+    try:
+        yield
+    finally:
+        for owner, attribute, value in before:
+            setattr(owner, attribute, value)
+
+
+def main() -> int:
+    from beechslip.doorman import main as serve
+    from beechslip.platform.confine import confine
+
+    with plant(sys.argv[1]):
+        confine()
+        return serve()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lab/processes.py
@@ -0,0 +1,120 @@
+"""A doorman as a process of the lab: started, killed, stopped, and never left behind.
+
+The kernel kills it when the lab dies (``PR_SET_PDEATHSIG``), however the lab ends.
+"""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ctypes
+import os
+import resource
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+ROOT = Path(__file__).resolve().parent.parent
+PR_SET_PDEATHSIG = 1
+_libc = ctypes.CDLL(None)
+
+
+def steady_ms() -> float:
+    """The clock that histories are written by: the doormans' own, of this one machine."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
+class DoormanProcess:
+    """One member. ``say`` notes what is done to it in the lab's history."""
+
+    def __init__(self, number: int, folder: Path, config: dict[str, Any], fleet_toml: str, plant: str,
+                 ops_port: int) -> None:
+        self.number, self.name, self.folder = number, f"d{number}", folder
+        self.config, self.fleet_toml, self.plant, self.ops_port = config, fleet_toml, plant, ops_port
+        self.stderr = ""  # a path to write it to in place of the folder's log; /dev/full is a full disk
+        self.file_limit = 0  # bytes that any file it writes may have; 0: no limit
+        self.process: asyncio.subprocess.Process | None = None
+        self.stopped = False
+        self.starts = 0
+        self.codes: list[int | None] = []  # how it ended, each time
+        folder.mkdir(parents=True, exist_ok=True)
+
+    @property
+    def alive(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    @property
+    def history(self) -> Path:
+        return self.folder / "history.jsonl"
+
+    def write(self) -> None:
+        (self.folder / "config.json").write_bytes(orjson.dumps(self.config))
+        (self.folder / "fleet.toml").write_text(self.fleet_toml)
+
+    async def start(self) -> None:
+        if self.alive:
+            return
+        self.write()
+        env = {n: v for n, v in os.environ.items() if not n.startswith(("EDGE_", "BEECHSLIP_"))}
+        env |= {"EDGE_CONFIG": str(self.folder / "config.json"), "EDGE_FLEET": str(self.folder / "fleet.toml"),
+                "EDGE_OPS": f"127.0.0.1:{self.ops_port}", "EDGE_NAME": self.name}
+        words = ["-m", "lab.planted", self.plant] if self.plant else ["-m", "beechslip"]
+        limit = self.file_limit
+
+        def before() -> None:
+            _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+            if limit:
+                resource.setrlimit(resource.RLIMIT_FSIZE, (limit, limit))
+        with open(self.stderr or self.folder / "log.txt", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, *words, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.DEVNULL, stderr=log, preexec_fn=before)
+        self.starts += 1
+        self.stopped = False
+
+    def send(self, number: signal.Signals) -> None:
+        if self.process is not None and self.alive:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.stopped = number is signal.SIGSTOP
+
+    async def end(self, number: signal.Signals = signal.SIGKILL, wait_s: float = 10.0) -> int | None:
+        """Signal it and wait for its end; SIGKILL after ``wait_s``."""
+        if self.process is None or not self.alive:
+            return None
+        if self.stopped and number is not signal.SIGKILL:
+            self.send(signal.SIGCONT)
+        self.send(number)
+        try:
+            code = await asyncio.wait_for(self.process.wait(), wait_s)
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            code = await self.process.wait()
+        self.codes.append(code)
+        return code
+
+    def events(self) -> list[dict[str, Any]]:
+        """Its history so far; a line cut short by a kill or a full disk is passed over."""
+        try:
+            lines = self.history.read_bytes().splitlines()
+        except FileNotFoundError:
+            return []
+        events = []
+        for line in lines:
+            with contextlib.suppress(orjson.JSONDecodeError):
+                events.append(orjson.loads(line))
+        return events
+
+    def counters(self) -> dict[str, int]:
+        """The counters of its last orderly end, from its log; {} if it has none."""
+        try:
+            text = (self.folder / "log.txt").read_text(errors="replace")
+        except FileNotFoundError:
+            return {}
+        lines = [line for line in text.splitlines() if " counters " in line]
+        pairs = (word.split("=") for word in lines[-1].split() if "=" in word) if lines else ()
+        return {name: int(value) for name, value in pairs if value.isdigit()}
--- /dev/null
+++ b/lab/world.py
@@ -0,0 +1,356 @@
+"""One run of a scenario: depots, change logs, relays, doorman processes, load, faults, and the verdict."""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import copy
+import dataclasses
+import random
+import signal
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+from hdrh.histogram import HdrHistogram
+
+from lab.check import LeaseChecker, Violation, check_leases
+from lab.processes import DoormanProcess, steady_ms
+from lab.relay import TcpRelay, UdpMesh, Weather
+from lab.scenario import Fault, Scenario, toml_value
+from lab.stand import SETTINGS, StandDepot, StandLog, fetch, free_port, line, listening
+
+READY_S = 30.0
+IN_ACT_S = 3.0  # how long a fault waits for a holder to be in the middle of an act
+WAIT_MS = 2_000  # a request's own time; its answer is looked for a while longer
+NAMES = ("a", "b", "hub", "archive")
+
+
+@dataclass
+class Result:
+    """What came of a run; ``failed`` says why it does not pass, and is empty if it does."""
+
+    name: str
+    plant: str
+    failed: list[str]
+    violations: list[str]
+    counts: dict[str, int]
+    answers: dict[str, int]
+    latency_ms: dict[str, float]
+    datagrams: dict[str, int]
+    exits: dict[str, list[int | None]]
+    counters: dict[str, dict[str, int]]
+    events: list[dict[str, Any]]
+    began_ms: float
+    ended_ms: float
+
+
+class World:
+    """Owns all that a run starts; ``close`` ends it, whatever happened."""
+
+    def __init__(self, scenario: Scenario, folder: Path, plant: str = "") -> None:
+        self.scenario, self.folder, self.plant = scenario, folder, plant
+        self.size = scenario.members + scenario.spare
+        self.rng = random.Random(scenario.seed)
+        self.depots = [StandDepot("a"), StandDepot("b"), StandDepot("hub", kind="parent", zone="north"),
+                       StandDepot("archive", kind="origin", zone="north")]
+        self.log = StandLog()
+        self.events: list[dict[str, Any]] = []  # the lab's own: faults, starts, ends
+        self.ways: dict[tuple[int, str], TcpRelay] = {}  # by doorman and depot, or "log"
+        self.doormans: list[DoormanProcess] = []
+        self.answers: dict[str, int] = {}
+        self.latency = HdrHistogram(1, 60_000_000, 3)  # microseconds
+        self.taken = self.wrong = 0
+        self._stack = contextlib.AsyncExitStack()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # Setting up ------------------------------------------------------------------------------------------
+
+    async def open(self) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        await self._stack.enter_async_context(listening(*self.depots))
+        log_server = await asyncio.start_server(self.log.serve, "127.0.0.1", 0)
+        self._stack.callback(log_server.close)
+        log_port = log_server.sockets[0].getsockname()[1]
+        ports = [free_port() for _ in range(3 * self.size)]
+        self.mesh = UdpMesh(ports[:self.size], random.Random(self.rng.random()))
+        self._stack.callback(self.mesh.close)
+        await self.mesh.start()
+        for n in range(self.size):
+            for name, target in [("log", log_port), *((d.name, int(d.address.split(":")[1])) for d in self.depots)]:
+                relay = self.ways[n, name] = TcpRelay(target)
+                self._stack.push_async_callback(relay.close)
+                await relay.start()
+            doorman = DoormanProcess(n, self.folder / f"d{n}", self._config(n, ports[self.size + n]),
+                                     self._fleet(n, self.scenario.members), self.plant, ports[2 * self.size + n])
+            how = self.scenario.disks.get(n, "")
+            doorman.stderr = "/dev/full" if how == "log-full" else ""
+            doorman.file_limit = 4096 if how == "file-limit" else 0
+            self.doormans.append(doorman)
+            self._stack.push_async_callback(doorman.end)
+        for doorman in self.doormans[:self.scenario.members]:
+            await doorman.start()
+        await asyncio.gather(*(self._ready(d) for d in self.doormans[:self.scenario.members]))
+
+    def _config(self, n: int, port: int) -> dict[str, Any]:
+        settings = copy.deepcopy(SETTINGS)
+        settings["me"], settings["balancers"] = n, self.size
+        settings["specifics"]["instancesByZone"] = [0, self.size]
+        boxes = [line(d) | {"address": f"127.0.0.1:{self.ways[n, d.name].port}"} for d in self.depots]
+        return {"name": f"d{n}", "listen": f"127.0.0.1:{port}", "seed": f"{self.rng.getrandbits(64):016x}",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "peer_listen": f"127.0.0.1:{self.mesh.listen[n]}", "peers": self.mesh.peers(n),
+                "changelog": f"127.0.0.1:{self.ways[n, 'log'].port}",
+                "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"index": 1, "snapshot": True,
+                                                                     "endpoints": boxes}}]},
+                "settings": settings}
+
+    def _fleet(self, n: int, declared: int) -> str:
+        """The member's ``fleet.toml``: the scenario's tables over the defaults, ``declared`` members."""
+        lines = ["enabled = true", 'name = "lab"', "tick_ms = 20",
+                 f'history = "{self.folder / f"d{n}" / "history.jsonl"}"']
+        tables = {name: dict(table) for name, table in self.scenario.tables.items()}
+        if "leases" in tables:
+            tables["leases"]["members"] = declared
+            if declared != self.scenario.members:
+                tables["leases"]["before"] = self.scenario.members
+        for name, table in tables.items():
+            lines += [f"[{name}]", *(f"{key} = {toml_value(value)}" for key, value in table.items())]
+        return "\n".join(lines) + "\n"
+
+    async def _ready(self, doorman: DoormanProcess) -> None:
+        port = int(doorman.config["listen"].split(":")[1])
+        for _ in range(int(READY_S / 0.05)):
+            if not doorman.alive:
+                break
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                if (await fetch(port, "/health"))[0] == 200:
+                    return
+            await asyncio.sleep(0.05)
+        raise RuntimeError(f"{doorman.name} did not come up; see {doorman.folder / 'log.txt'}")
+
+    async def close(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._stack.aclose()
+
+    # The run ---------------------------------------------------------------------------------------------
+
+    async def play(self) -> Result:
+        began = steady_ms()
+        if self.scenario.rps and self.scenario.requests:
+            self._spawn(self._load())
+        for fault in self.scenario.faults:
+            await asyncio.sleep(max(0.0, began / 1000 + fault.at_s - steady_ms() / 1000))
+            self._spawn(self._do(fault))
+        await asyncio.sleep(max(0.0, began / 1000 + self.scenario.duration_s - steady_ms() / 1000))
+        for task in list(self._tasks):
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        censuses = await self._censuses() if self.scenario.must.census else {}
+        self._note("all", "end")
+        await asyncio.gather(*(d.end(signal.SIGTERM) for d in self.doormans))
+        return self._result(began, censuses)
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def history(self) -> list[dict[str, Any]]:
+        return [event for doorman in self.doormans for event in doorman.events()]
+
+    def _note(self, who: str, what: str) -> None:
+        self.events.append({"t": steady_ms(), "member": who, "life": 0, "kind": "fault", "what": what})
+
+    async def _load(self) -> None:
+        for k in range(self.scenario.requests):
+            doorman = self.doormans[k % self.scenario.members]
+            if doorman.alive and not doorman.stopped:
+                self._spawn(self._ask(doorman, k))
+            await asyncio.sleep(1.0 / self.scenario.rps)
+
+    async def _ask(self, doorman: DoormanProcess, k: int) -> None:
+        """One request; what is not answered counts against a doorman only if it ran all the while."""
+        began, starts = steady_ms(), doorman.starts
+        self.taken += 1
+        try:
+            status, _, _ = await asyncio.wait_for(
+                fetch(int(doorman.config["listen"].split(":")[1]), f"/rpc/waveform/{k % 97:x}?slice=0",
+                      wait_ms=WAIT_MS), WAIT_MS / 1000 + 3)
+            what = str(status)
+            self.latency.record_value(max(1, int((steady_ms() - began) * 1000)))
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            ran = doorman.alive and not doorman.stopped and doorman.starts == starts and not self._touched(
+                doorman, began)
+            what = "none" if ran else "cut off"
+            self.wrong += ran
+        self.answers[what] = self.answers.get(what, 0) + 1
+
+    def _touched(self, doorman: DoormanProcess, since: float) -> bool:
+        return any(e["t"] >= since - WAIT_MS and e["member"] in (doorman.name, "all") for e in self.events)
+
+    # Faults ----------------------------------------------------------------------------------------------
+
+    async def _whom(self, fault: Fault) -> list[DoormanProcess]:
+        chosen: list[DoormanProcess] = []
+        for who in fault.who:
+            if who == "all":
+                chosen += self.doormans[:self.scenario.members]
+            elif who.startswith(("holder:", "others:")):
+                kind, _, name = who.partition(":")
+                holder = await self._holder(name, fault.in_act)
+                if holder is None:
+                    continue
+                chosen += [holder] if kind == "holder" else [d for d in self.doormans if d.alive and d is not holder]
+            else:
+                chosen.append(self.doormans[int(who[1:])])
+        return chosen
+
+    async def _holder(self, name: str, in_act: bool) -> DoormanProcess | None:
+        """Who holds ``name`` now; with ``in_act``, once it stands between a check and its act."""
+        for _ in range(int(IN_ACT_S / 0.01)):
+            events = sorted(self.history(), key=lambda e: e["t"])
+            tenure = check_leases(events).tenures.get(name)
+            if tenure is not None and tenure.until > steady_ms():
+                holder = self.doormans[int(tenure.holder[0][1:])]
+                own = [e["kind"] for e in events if e["member"] == holder.name and e.get("name") == name
+                       and e["kind"] in ("begin", "effect")]
+                if holder.alive and (not in_act or own[-1:] == ["begin"]):
+                    return holder
+            await asyncio.sleep(0.01)
+        return None
+
+    async def _do(self, fault: Fault) -> None:
+        if fault.do in ("cut", "heal", "weather"):
+            self._mesh(fault)
+            return
+        for doorman in await self._whom(fault):
+            self._note(doorman.name, fault.do)
+            await self._one(doorman, fault)
+            if fault.for_s:
+                self._spawn(self._undo(doorman, fault))
+            if fault.each_s:
+                await asyncio.sleep(fault.each_s)
+
+    def _mesh(self, fault: Fault) -> None:
+        self._note("network", fault.do)
+        if fault.do == "cut":
+            self.mesh.cut.clear()
+            self.mesh.sides([list(side) for side in fault.sides])
+        elif fault.do == "weather":
+            self.mesh.weather = fault.weather
+        else:
+            self.mesh.cut.clear()
+            self.mesh.weather = Weather()
+        if fault.for_s:
+            self._spawn(self._later(fault.for_s, dataclasses.replace(fault, do="heal", for_s=0.0)))
+
+    async def _later(self, seconds: float, fault: Fault) -> None:
+        await asyncio.sleep(seconds)
+        await self._do(fault)
+
+    async def _one(self, doorman: DoormanProcess, fault: Fault) -> None:
+        n = doorman.number
+        if fault.do in ("kill", "restart"):
+            await doorman.end(signal.SIGKILL)
+            if fault.do == "restart":
+                await doorman.start()
+        elif fault.do == "term":
+            await doorman.end(signal.SIGTERM)
+        elif fault.do == "start":
+            await doorman.start()
+        elif fault.do in ("stop", "go"):
+            doorman.send(signal.SIGSTOP if fault.do == "stop" else signal.SIGCONT)
+        elif fault.do in ("deaf", "mute"):
+            others = [i for i in range(self.size) if i != n]
+            self.mesh.cut |= {(i, n) if fault.do == "deaf" else (n, i) for i in others}
+        elif fault.do == "declare":
+            doorman.fleet_toml = self._fleet(n, fault.size)
+            doorman.write()
+            doorman.send(signal.SIGHUP)
+        elif fault.do in ("depot", "log"):
+            for (number, name), way in self.ways.items():
+                if number == n and (name == "log") == (fault.do == "log"):
+                    way.set(fault.how)
+
+    async def _undo(self, doorman: DoormanProcess, fault: Fault) -> None:
+        await asyncio.sleep(fault.for_s)
+        self._note(doorman.name, f"{fault.do} ends")
+        n = doorman.number
+        if fault.do in ("kill", "term"):
+            await doorman.start()
+        elif fault.do == "stop":
+            doorman.send(signal.SIGCONT)
+        elif fault.do in ("deaf", "mute"):
+            self.mesh.cut = {(i, j) for i, j in self.mesh.cut if n != (j if fault.do == "deaf" else i)}
+        elif fault.do in ("depot", "log"):
+            for (number, _), way in self.ways.items():
+                if number == n:
+                    way.set("")
+
+    # The verdict -----------------------------------------------------------------------------------------
+
+    async def _page(self, doorman: DoormanProcess, path: str) -> Mapping[str, Any]:
+        with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError, orjson.JSONDecodeError):
+            _, _, body = await asyncio.wait_for(fetch(doorman.ops_port, path), 3)
+            page: Mapping[str, Any] = orjson.loads(body)
+            return page
+        return {}
+
+    async def _censuses(self) -> dict[str, Any]:
+        """Each live doorman's census, once they agree on one that counts all that live, or after 15 s."""
+        pages: dict[str, Any] = {}
+        live = [d for d in self.doormans if d.alive]
+        for _ in range(75):
+            pages = {d.name: (await self._page(d, "/leases")).get("census") or {} for d in live}
+            counted = [tuple(sorted(p.get("members", {}))) for p in pages.values()]
+            if set(counted) == {tuple(sorted(d.name for d in live))}:
+                break
+            await asyncio.sleep(0.2)
+        return pages
+
+    def _result(self, began: float, censuses: dict[str, Any]) -> Result:
+        must, events = self.scenario.must, self.history()
+        checker: LeaseChecker = check_leases(events, must.tokens)
+        counts, failed = checker.counts, []
+        violations: list[Violation] = checker.violations
+        failed += [f"{v.rule}: {v.text}" for v in violations]
+        for what, least, got in (("holds", must.holds, counts.get("hold", 0)),
+                                 ("handovers", must.handovers, counts.get("handovers", 0)),
+                                 ("acts turned down", must.turned_down, counts.get("turned_down", 0))):
+            if got < least:
+                failed.append(f"{what}: {got}, fewer than {least}")
+        if must.census:
+            live = sorted(censuses)
+            for name, page in censuses.items():
+                if sorted(page.get("members", {})) != live:
+                    failed.append(f"census: {name} counts {sorted(page.get('members', {}))}, {live} live")
+        if must.answered and self.wrong:
+            failed.append(f"answers: {self.wrong} of {self.taken} requests had none from a doorman that ran")
+        counters = {d.name: d.counters() for d in self.doormans if d.starts}
+        for name, counted in counters.items():
+            faults = {k: v for k, v in counted.items() if k.startswith("fault.")}
+            if faults:
+                failed.append(f"faults caught in {name}: {faults}")
+        bad_exits = [d.name for d in self.doormans if any(c not in (0, -signal.SIGKILL) for c in d.codes)]
+        if bad_exits:
+            failed.append(f"ended otherwise than told: {', '.join(bad_exits)}")
+        percentiles = {f"p{p:g}": self.latency.get_value_at_percentile(p) / 1000 for p in (50, 99, 100)}
+        return Result(self.scenario.name, self.plant, failed, [f"{v.rule}: {v.text}" for v in violations],
+                      counts, dict(sorted(self.answers.items())), percentiles,
+                      {"passed": self.mesh.passed, "bytes": self.mesh.bytes, "lost": self.mesh.lost},
+                      {d.name: d.codes for d in self.doormans if d.starts}, counters,
+                      sorted([*events, *self.events], key=lambda e: e["t"]), began, steady_ms())
+
+
+async def run_scenario(scenario: Scenario, folder: Path, plant: str = "") -> Result:
+    """Set up, play and end a scenario; nothing that it started outlives the call."""
+    world = World(scenario, folder, plant)
+    try:
+        await world.open()
+        return await world.play()
+    finally:
+        await world.close()
--- a/tests/pg_stand.py
+++ b/tests/pg_stand.py
@@ -15,7 +15,7 @@
 PASSWORD = "s3cret word"
 INT8, FLOAT8, TEXT = 20, 701, 25
 WHOLE = {20, 21, 23}
-COLUMN_TYPES = {"id": INT8, "pid": INT8, "restarts": INT8, "at_ms": FLOAT8}
+COLUMN_TYPES = {"id": INT8, "pid": INT8, "restarts": INT8, "token": INT8, "beat": INT8, "at_ms": FLOAT8}
 SSL_REQUEST = 80877103
 
 
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,183 @@
+"""The lab: real doorman processes with faults between them, each scenario judged by what it must hold."""
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from typer.testing import CliRunner
+
+from beechslip.config import ConfigError
+from lab import report
+from lab.__main__ import app
+from lab.processes import ROOT
+from lab.relay import TcpRelay, UdpMesh, Weather
+from lab.scenario import read_scenario
+from lab.stand import free_port, run, until
+from lab.world import Result, run_scenario
+
+FILES = sorted((ROOT / "lab" / "scenarios").glob("*.toml"))
+CASES = [(f, plant) for f in FILES for plant in ("", *read_scenario(f).plants)]
+AT_ONCE = 3  # scenarios side by side; each has five to twenty processes
+FOUND = {"no-fence": "stale-act", "no-guard": "act-unheld"}  # the rule that finds a planted fault, or two-holders
+
+
+@pytest.fixture(scope="session")
+def results(tmp_path_factory: pytest.TempPathFactory) -> dict[tuple[str, str], Result]:
+    folder = tmp_path_factory.mktemp("lab")
+
+    async def play() -> list[Result]:
+        turn = asyncio.Semaphore(AT_ONCE)
+
+        async def one(file: Path, plant: str) -> Result:
+            """A violation stands. A run that has shown too little (a lease that changed hands too seldom for the
+            time given, a planted fault that had no occasion) is played again, up to three times."""
+            for number in range(3):
+                async with turn:
+                    result = await run_scenario(read_scenario(file), folder / f"{file.stem}+{plant}+{number}", plant)
+                if result.violations or not (plant or result.failed):
+                    break
+            return result
+        return await asyncio.gather(*(one(file, plant) for file, plant in CASES))
+    return {(file.stem, plant): result for (file, plant), result in zip(CASES, asyncio.run(play()), strict=True)}
+
+
+@pytest.mark.parametrize(("name", "plant"), [(f.stem, p) for f, p in CASES])
+def test_scenario(results: dict[tuple[str, str], Result], name: str, plant: str) -> None:
+    result = results[name, plant]
+    if plant:
+        rule = FOUND.get(plant, "two-holders")
+        assert any(v.startswith(rule) for v in result.violations), (result.failed, result.counts)
+    else:
+        assert result.failed == [] and result.counts["hold"] > 0
+
+
+def test_results_are_written_and_read_again(results: dict[tuple[str, str], Result], tmp_path: Path) -> None:
+    result = results["holder-stopped", ""]
+    report.write(result, tmp_path / "one")
+    assert (tmp_path / "one" / "timeline.png").stat().st_size > 5_000
+    assert len((tmp_path / "one" / "history.csv").read_text().splitlines()) == len(result.events) + 1
+    assert report.read(tmp_path)[0].counts == result.counts
+    said = CliRunner().invoke(app, ["report", str(tmp_path)])
+    assert said.exit_code == 0 and "passed" in said.output
+    (tmp_path / "one" / "result.json").write_text("{}")
+    assert CliRunner().invoke(app, ["report", str(tmp_path)]).exit_code == 2
+
+
+def test_a_counter_tells_what_each_member_did_with_leases(results: dict[tuple[str, str], Result]) -> None:
+    counters = results["holder-killed", ""].counters
+    assert sum(c.get("lease.t0.held", 0) for c in counters.values()) >= 1
+    assert all(c["fleet.received"] > 0 and c.get("fleet.bad", 0) == 0 for c in counters.values())
+
+
+@pytest.mark.parametrize(("told", "named"), [
+    ("members = 30", "members"), ("odd = 1", "odd"), ("[fleet]\nodd = 1", "fleet"), ("[load]\nrps = 1e9", "rps"),
+    ("[[fault]]\nat_s = 1\ndo = 'boil'\nwho = ['d0']", "fault 0: do"), ("[must]\nholds = -1", "holds"),
+    ("[[fault]]\nat_s = 1\ndo = 'kill'\nwho = ['d9']", "fault 0: who"), ("[[fault]]\ndo = 'kill'", "who"),
+    ("[[fault]]\ndo = 'cut'", "sides"), ("[[disk]]\nwho = 1\nhow = 'odd'", "disk 0: how"), ("seed =", "bad.toml"),
+    ("[[fault]]\ndo = 'depot'\nwho = ['d0']\nhow = 'odd'", "how"), ("duration_s = 999", "duration_s"),
+    ("[[fault]]\ndo = 'weather'\nweather = {loss = 2}", "weather: loss"),
+])
+def test_a_wrong_scenario_is_refused_by_file_and_key(tmp_path: Path, told: str, named: str) -> None:
+    bad = tmp_path / "bad.toml"
+    bad.write_text(told + "\n")
+    with pytest.raises(ConfigError, match=named) as error:
+        read_scenario(bad)
+    assert "bad.toml" in str(error.value)
+    assert CliRunner().invoke(app, ["run", str(bad), "--out", str(tmp_path)]).exit_code == 2
+
+
+def test_soak_and_search_end_with_one_for_what_they_find() -> None:
+    runner = CliRunner()
+    assert runner.invoke(app, ["soak", "--seeds", "16", "--workers", "2"]).exit_code == 0
+    said = runner.invoke(app, ["soak", "--seeds", "8", "--plant", "majority-of-living", "--workers", "2"])
+    assert said.exit_code == 1 and "seed 0: two-holders" in said.output
+    assert runner.invoke(app, ["soak", "--plant", "odd"]).exit_code == 2
+    assert runner.invoke(app, ["search", "--units", "0", "--restarts", "0"]).exit_code == 0
+
+
+@run
+async def test_a_mesh_cuts_one_way_and_loses_repeats_and_delays() -> None:
+    ports = [free_port(), free_port()]
+    mesh = UdpMesh(ports, random.Random(1))
+    await mesh.start()
+    loop, got = asyncio.get_running_loop(), list[tuple[bytes, Any]]()
+
+    class Hears(asyncio.DatagramProtocol):
+        def datagram_received(self, data: bytes, addr: Any) -> None:
+            got.append((data, addr))
+    ends = [(await loop.create_datagram_endpoint(Hears, local_addr=("127.0.0.1", p)))[0] for p in ports]
+    to = [("127.0.0.1", int(mesh.peers(i)[1 - i].split(":")[1])) for i in (0, 1)]
+    try:
+        ends[0].sendto(b"1", to[0])
+        await until(lambda: len(got) == 1)
+        assert got[0] == (b"1", to[1])  # from the sender's address as the other is told it
+        mesh.cut.add((0, 1))
+        ends[0].sendto(b"2", to[0])
+        ends[1].sendto(b"3", to[1])
+        await until(lambda: len(got) == 2 and mesh.lost == 1)
+        assert got[1][0] == b"3"
+        mesh.cut.clear()
+        mesh.weather = Weather(repeat=1.0, delay_ms=20.0)
+        ends[0].sendto(b"4", to[0])
+        await until(lambda: [d for d, _ in got[2:]] == [b"4", b"4"])
+        mesh.weather = Weather(loss=1.0)
+        ends[0].sendto(b"5", to[0])
+        await until(lambda: mesh.lost == 2)
+    finally:
+        mesh.close()
+        for end in ends:
+            end.close()
+
+
+@run
+async def test_a_way_falls_silent_breaks_and_slows() -> None:
+    async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(1000):
+            writer.write(data)
+        writer.close()
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    way = TcpRelay(server.sockets[0].getsockname()[1])
+    await way.start()
+    reader, writer = await asyncio.open_connection("127.0.0.1", way.port)
+    writer.write(b"a")
+    assert await reader.read(10) == b"a"
+    way.set("silence")
+    writer.write(b"b")
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(reader.read(10), 0.2)
+    way.set("")
+    assert await reader.read(10) == b"b"
+    way.set("reset")
+    with pytest.raises(ConnectionError):
+        await reader.readexactly(1)
+    with pytest.raises(ValueError):
+        way.set("odd")
+    writer.close()
+    await way.close()
+    server.close()
+
+
+def test_nothing_outlives_a_lab_that_is_killed(tmp_path: Path) -> None:
+    """SIGKILL leaves the lab no time to tidy up; its doormans end all the same."""
+    lab = subprocess.Popen([sys.executable, "-m", "lab", "run", "lab/scenarios/weather.toml", "--out", str(tmp_path)],
+                           cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+
+    def children() -> list[int]:
+        found = subprocess.run(["pgrep", "-f", "-P", str(lab.pid), "beechslip"], capture_output=True, text=True)
+        return [int(pid) for pid in found.stdout.split()]
+
+    async def wait() -> None:
+        await asyncio.wait_for(until(lambda: len(children()) == 5), 30)
+        pids = children()
+        os.kill(lab.pid, signal.SIGKILL)
+        lab.wait()
+        lines = [Path(f"/proc/{pid}/cmdline") for pid in pids]
+        await asyncio.wait_for(until(lambda: not any(one.exists() and one.read_bytes() for one in lines)), 10)
+    asyncio.run(wait())
