Membership: random insertion, Lifeguard suspicion, repeated pings, news by itself

Cause: all members pinged the same one in the same period (seeds kept in the order of names), so of many that died together one a period was found; and suspicion that spread fast was as often false as true.

Newcomers go at random places of the round; a suspicion lasts 6 s with one accuser, 1.5 s with four; a ping without an ack is repeated twice in its period; whoever is written to while suspect is told so; news goes out by itself every 250 ms while there is some. Of duties: a suspect keeps its rank but takes no standby's place, a standby waits 500 ms for a suspect owner, those past the standbys step in after 8 s of silence.

--- a/beechslip/duties/assign.py
+++ b/beechslip/duties/assign.py
@@ -66,13 +66,17 @@
         for duty in wanted - set(self.order):
             self.order[duty] = SortedKeyList(((weight(duty, m), m) for m in self.members), key=_key)
 
-    def ranked(self, duty: str, alive: Callable[[str], bool] = lambda _: True) -> tuple[str, ...]:
-        """The first ``k`` members for ``duty`` that ``alive`` accepts, best first."""
+    def ranked(self, duty: str, alive: Callable[[str], bool] = lambda _: True,
+               sure: Callable[[str], bool] = lambda _: True) -> tuple[str, ...]:
+        """The members for ``duty`` that ``alive`` accepts, best first, up to the ``k``-th that ``sure`` accepts,
+        too: one that is in doubt keeps its place, but takes no other's."""
         chosen: list[str] = []
+        certain = 0
         for _, member in self.order.get(duty, ()):
             if alive(member):
                 chosen.append(member)
-                if len(chosen) == self.k:
+                certain += sure(member)
+                if certain == self.k:
                     break
         return tuple(chosen)
 
--- a/beechslip/duties/node.py
+++ b/beechslip/duties/node.py
@@ -4,9 +4,10 @@
 
 - **Who does a duty.** Rendezvous hashing (:mod:`.assign`) over the members that the SWIM view
   (:mod:`.membership`) takes as alive. The owner does the duty every ``interval_ms``. Standby ``r`` (1..k-1)
-  does it only when nothing has been heard of it for ``interval_ms + r * takeover_ms``, or at once when the
-  owner is suspect or dead in its view: so a box goes unprobed for at most about one interval plus the time to
-  suspect its owner, even while the death is not yet confirmed.
+  does it only when nothing has been heard of it for ``interval_ms + r * takeover_ms``, or, when all before it are
+  suspect in its view, ``doubt_ms`` after it is due: long enough to hear of one that does it after all. A suspect
+  keeps its rank but takes no standby's place, so that however many die together there are standbys who live; those
+  past the ``k`` first, whom no report is sent to, step in after ``interval_ms + k * takeover_ms`` of silence.
 - **Reports.** Every duty done becomes a :class:`Report`, piggybacked on membership messages ``report_copies``
   times (infection-style). Any report of a duty, from anyone, resets its due time here.
 - **Leases against double owners.** Two members may both take themselves for owner while their views differ (a
@@ -35,6 +36,7 @@
 
     interval_ms: float = 2000.0
     takeover_ms: float = 2000.0
+    doubt_ms: float = 500.0
     lease_ms: float = 4000.0
     k: int = 3  # owner and two standbys: when half of a fleet dies, one box in eight loses all three
     rate_per_s: float = 50.0
@@ -104,6 +106,12 @@
     def _alive(self, name: str) -> bool:
         return self.membership.state_of(name) is not State.DEAD
 
+    def _sure(self, name: str) -> bool:
+        return self.membership.state_of(name) is State.ALIVE
+
+    def _ranked(self, duty: str) -> tuple[str, ...]:
+        return self._assignment.ranked(duty, self._alive, self._sure)
+
     def _sync(self) -> None:
         membership = self.membership
         if membership.version == self._seen:
@@ -117,7 +125,7 @@
 
         self._mine = {}
         for duty in self.duties:
-            ranked = self._assignment.ranked(duty, self._alive)
+            ranked = self._ranked(duty)
             if self.me in ranked:
                 self._mine[duty] = (ranked.index(self.me), ranked[0])
 
@@ -157,7 +165,7 @@
         mine = self._mine.get(duty)
         if mine is not None:
             direct = Send("", Message("report", self.me, 0, reports=(report,)))
-            for standby in self._assignment.ranked(duty, self._alive):
+            for standby in self._ranked(duty):
                 if standby != self.me:  # twice: a lost report costs a duplicate probe
                     self._outbox += [Send(standby, direct.message)] * self.tuning.report_sends
 
@@ -192,10 +200,13 @@
             if lease and lease.until_ms > now_ms:
                 return -1.0  # another proved by doing it that it holds the duty, until the lease ends
             return since - wait
-        above = self._assignment.ranked(duty, self._alive)[:rank]
-        if all(self.membership.state_of(name) is not State.ALIVE for name in above):
-            return since - wait  # all before it are suspect: take over when due
-        return since - (wait + rank * self.tuning.takeover_ms)
+        above = sum(self._sure(name) for name in self._ranked(duty)[:rank])
+        if above == 0:
+            return since - (wait + self.tuning.doubt_ms)  # all before it are suspect
+        if rank >= self.tuning.k:
+            # The owner's reports go to the standbys before it, so it hears late: only a long silence counts.
+            return since - (wait + self.tuning.k * self.tuning.takeover_ms + 100.0 * (rank - self.tuning.k))
+        return since - (wait + above * self.tuning.takeover_ms)
 
     def _contest(self, now_ms: float, report: Report) -> None:
         """Another did ``report.duty`` as its owner. If this member thinks so of itself too, the higher weight
@@ -221,8 +232,8 @@
             self._reports[report.duty] = (report, self.tuning.report_copies)
 
     def _attach(self, send: Send) -> Send:
-        if not self._reports:
-            return send
+        if not self._reports or len(send.message.updates) > self.membership.tuning.piggyback:
+            return send  # full of news of members, which are few at most times
         chosen = sorted(self._reports.items(), key=lambda item: -item[1][0].at_ms)
         chosen = chosen[: self.tuning.reports_per_message]
         for duty, (report, left) in chosen:
--- a/beechslip/duties/sim.py
+++ b/beechslip/duties/sim.py
@@ -21,6 +21,8 @@
 from beechslip.fleet.codec import decode, encode
 from beechslip.fleet.membership import Membership, Message, Send, Tuning
 
+EPOCH = 1_764_576_000_000  # incarnations are times of day in ms, and take their room in a datagram
+
 
 @dataclass
 class Net:
@@ -58,7 +60,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         for name in self.names:
-            self._boot(name, incarnation=0)
+            self._boot(name, incarnation=EPOCH)
             self._at(self.rng.uniform(0, self.tick_ms), partial(self._tick, name))
 
     # Faults ------------------------------------------------------------------------------------------------
@@ -79,7 +81,7 @@
     def restart(self, name: str) -> None:
         """A dead member starts again, empty, with an incarnation above any it had."""
         self.dead.discard(name)
-        self._boot(name, incarnation=int(self.now) + 1)
+        self._boot(name, incarnation=EPOCH + int(self.now) + 1)
 
     def alive_names(self) -> list[str]:
         return [n for n in self.names if n not in self.dead]
--- a/beechslip/fleet/codec.py
+++ b/beechslip/fleet/codec.py
@@ -5,7 +5,7 @@
 
     syntax = "proto3";
     package beechslip.fleet;
-    message Update { string member = 1; uint64 incarnation = 2; uint32 state = 3; }
+    message Update { string member = 1; uint64 incarnation = 2; uint32 state = 3; string by = 4; }
     message Report { string duty = 1; string prober = 2; double age_ms = 3; bool ok = 4; bool owner = 5; }
     message Envelope {
       uint32 version = 1; string fleet = 2; string kind = 3; string sender = 4; uint64 seq = 5;
@@ -50,7 +50,7 @@
                             type_name=type_name.lstrip("*") or None)
 
     message("Update", [("member", 1, f.TYPE_STRING, ""), ("incarnation", 2, f.TYPE_UINT64, ""),
-                       ("state", 3, f.TYPE_UINT32, "")])
+                       ("state", 3, f.TYPE_UINT32, ""), ("by", 4, f.TYPE_STRING, "")])
     message("Report", [("duty", 1, f.TYPE_STRING, ""), ("prober", 2, f.TYPE_STRING, ""),
                        ("age_ms", 3, f.TYPE_DOUBLE, ""), ("ok", 4, f.TYPE_BOOL, ""),
                        ("owner", 5, f.TYPE_BOOL, "")])
@@ -78,7 +78,7 @@
         envelope = Envelope(version=VERSION, fleet=fleet, kind=message.kind, sender=message.sender,
                             seq=message.seq, target=message.target, body=message.body)
         for u in updates:
-            envelope.updates.add(member=u.member, incarnation=u.incarnation, state=int(u.state))
+            envelope.updates.add(member=u.member, incarnation=u.incarnation, state=int(u.state), by=u.by)
         for r in reports:
             envelope.reports.add(duty=r.duty, prober=r.prober, age_ms=now_ms - r.at_ms, ok=r.ok, owner=r.owner)
         data: bytes = envelope.SerializeToString()
@@ -104,12 +104,12 @@
         raise CodecError("another fleet's message")
     if envelope.kind not in KINDS:
         raise CodecError(f"unknown kind {envelope.kind[:20]!r}")
-    names = [envelope.sender, envelope.target, *(u.member for u in envelope.updates),
+    names = [envelope.sender, envelope.target, *(n for u in envelope.updates for n in (u.member, u.by)),
              *(n for r in envelope.reports for n in (r.duty, r.prober))]
     if not envelope.sender or any(len(n) > MOST_NAME for n in names):
         raise CodecError("a name is missing or too long")
     try:
-        updates = tuple(Update(u.member, int(u.incarnation), State(u.state)) for u in envelope.updates)
+        updates = tuple(Update(u.member, int(u.incarnation), State(u.state), u.by) for u in envelope.updates)
     except ValueError:
         raise CodecError("unknown state") from None
     if any(not math.isfinite(r.age_ms) for r in envelope.reports):
--- a/beechslip/fleet/membership.py
+++ b/beechslip/fleet/membership.py
@@ -7,11 +7,16 @@
 given ``now`` in milliseconds and answers with the messages to send (:class:`Send`). The caller carries them
 over a lossy transport (UDP) and hands what arrives to :meth:`Membership.receive`.
 
-Each protocol period (``period_ms``) a member pings one peer, taken round-robin from a shuffled list. With no
-ack within ``ack_ms`` it asks ``indirect`` others to ping that peer for it (ping-req); with no ack by the end
-of the period the peer becomes *suspect*, and after ``suspect_ms`` more without a refutation, *dead*. A member
-that hears itself suspected raises its incarnation number and so refutes it. Every message carries up to
-``piggyback`` updates, each sent about ``retransmit * log2(n + 1)`` times.
+Each protocol period (``period_ms``) a member pings one peer, taken round-robin from a shuffled list into which
+newcomers go at random places (SWIM 4.3: or all would ping the same one in the same period, and of many that died
+together one a period would be found). With no ack within ``ack_ms`` it asks ``indirect`` others to ping that peer
+for it (ping-req), and pings it again itself; with no ack by the end of the period the peer becomes *suspect*, and
+after a time without a refutation, *dead*. That time begins at ``suspect_most_ms`` and falls to ``suspect_ms`` as
+other members accuse the same peer on their own (A. Dadgar, J. Phillips, J. Currey, "Lifeguard: Local Health Awareness
+for More Accurate Failure Detection", DSN-W 2018: LHA-Suspicion): lost datagrams make one accuser, a death makes many.
+Whoever is sent anything while suspect is told so in it (Lifeguard's buddy system). A member that hears itself
+suspected raises its incarnation number and so refutes it. Every message carries up to ``piggyback`` updates, each sent
+about ``retransmit * log2(n + 1)`` times; while there is news, it also goes out by itself every ``gossip_ms``.
 
 Precedence of updates about one member (SWIM 4.2): ``alive(i)`` overrides ``suspect(j)`` and ``alive(j)`` for
 ``i > j``; ``suspect(i)`` overrides ``alive(j)`` for ``i >= j`` and ``suspect(j)`` for ``i > j``; ``dead(i)``
@@ -39,11 +44,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Update:
-    """What one member says about another: ``member`` is in ``state`` at ``incarnation``."""
+    """What one member says about another: ``member`` is in ``state`` at ``incarnation``; ``by`` is who accuses it, if
+    the state is suspect."""
 
     member: str
     incarnation: int
     state: State
+    by: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,13 +95,19 @@
 
     period_ms: float = 500.0
     ack_ms: float = 150.0
+    retries: int = 2  # pings more in the same period, where no ack comes: cheaper than a false suspicion
     indirect: int = 3
-    suspect_ms: float = 1500.0
-    piggyback: int = 3  # what fits a 256-byte datagram beside reports
+    suspect_ms: float = 1500.0  # how long a peer stays suspect whom `accusers` others accuse, too
+    suspect_most_ms: float = 6000.0  # and one whom a single member accuses
+    accusers: int = 3
+    piggyback: int = 5  # the codec drops what does not fit a 256-byte datagram beside reports
     retransmit: float = 3.0
     most_members: int = 4096
     forget_ms: float = 60_000.0
     rejoin_every: int = 4  # periods between pings of a member held dead
+    gossip_ms: float = 250.0  # while there is news, it also goes out by itself this often,
+    fanout: int = 2  # to so many members
+    gossip_most: int = 9  # updates in one of these
 
 
 @dataclass(slots=True)
@@ -103,6 +116,7 @@
     incarnation: int
     state: State
     since_ms: float  # when it took this state
+    accusers: frozenset[str] = frozenset()  # who suspect it on their own; at most one more than Tuning.accusers
 
 
 @dataclass(slots=True)
@@ -112,6 +126,7 @@
     sent_ms: float
     asked_others: bool = False
     acked: bool = False
+    tries: int = 1
 
 
 @dataclass(slots=True)
@@ -142,7 +157,7 @@
         self._probe: _Probe | None = None
         self._relays: dict[int, _Relay] = {}
         self._seq = 0
-        self._period_at = self.now_ms
+        self._period_at = self._gossip_at = self.now_ms
         self._periods = 0
         self._watch: set[str] = set()  # members suspect or dead: the only ones whose time can run out
         self.version = 0  # raised at every change of the view, for those that cache what follows from it
@@ -177,12 +192,18 @@
             helpers = [n for n in self.alive() if n not in (self.me, probe.target)]
             for helper in self.rng.sample(helpers, min(self.tuning.indirect, len(helpers))):
                 out.append(self._send(helper, "ping-req", probe.seq, probe.target))
+        if probe and not probe.acked and probe.tries <= self.tuning.retries and (
+                now_ms - probe.sent_ms >= probe.tries * self.tuning.ack_ms):
+            probe.tries += 1
+            out.append(self._send(probe.target, "ping", probe.seq))
         if now_ms - self._period_at >= self.tuning.period_ms:
             if probe and not probe.acked:
                 target = self.members.get(probe.target)
                 if target and target.state is State.ALIVE:
-                    self._take(Update(target.name, target.incarnation, State.SUSPECT), now_ms)
+                    self._take(Update(target.name, target.incarnation, State.SUSPECT, self.me), now_ms)
                     self._count("suspected")
+                elif target and target.state is State.SUSPECT:
+                    self._take(Update(target.name, target.incarnation, State.SUSPECT, self.me), now_ms)
             self._period_at = now_ms
             self._probe = None
             self._periods += 1
@@ -195,9 +216,16 @@
                 self._seq += 1
                 self._probe = _Probe(target_name, self._seq, now_ms)
                 out.append(self._send(target_name, "ping", self._seq))
+        if self._queue and now_ms - self._gossip_at >= self.tuning.gossip_ms:
+            # Pings alone carry too little after many deaths, half of them going to the dead.
+            self._gossip_at = now_ms
+            sure = [n for n, m in self.members.items() if m.state is State.ALIVE]
+            for name in self.rng.sample(sure, min(self.tuning.fanout, len(sure))):
+                if self._queue:
+                    out.append(self._send(name, "report", 0, most=self.tuning.gossip_most))
         for name in sorted(self._watch):
             member = self.members[name]
-            if member.state is State.SUSPECT and now_ms - member.since_ms >= self.tuning.suspect_ms:
+            if member.state is State.SUSPECT and now_ms - member.since_ms >= self._patience(member):
                 self._take(Update(member.name, member.incarnation, State.DEAD), now_ms)
                 self._count("declared_dead")
             elif member.state is State.DEAD and now_ms - member.since_ms >= self.tuning.forget_ms:
@@ -224,8 +252,10 @@
         self._heard_from(message.sender, now_ms)
         held = self.members.get(message.sender)
         if held is not None and held.state is not State.ALIVE:
-            # It speaks, so it lives; tell it what we hold, and it refutes with a newer incarnation.
+            # It speaks, so it lives; tell it what we hold (with the next datagram to it), and it refutes.
             self._spread(Update(held.name, held.incarnation, held.state))
+        if self._probe and self._probe.target == message.sender:
+            self._probe.acked = True  # whatever it says, it lives
         out: list[Send] = []
         if message.kind == "ping":
             out.append(self._send(message.sender, "ack", message.seq, message.target))
@@ -268,13 +298,17 @@
                 self._count("members_over_bound")
                 return
             self.members[update.member] = Member(update.member, update.incarnation, update.state, now_ms)
-            self._order.append(update.member)
+            self._order.insert(self.rng.randint(0, len(self._order)), update.member)
+            old = self.members[update.member]
         elif not _overrides(update, old):
+            self._accuse(update, old, spread)
             return
         else:
-            if old.state is not update.state:
-                old.since_ms = now_ms
+            if old.state is not update.state or old.incarnation != update.incarnation:
+                old.since_ms, old.accusers = now_ms, frozenset()
             old.incarnation, old.state = update.incarnation, update.state
+        if update.by:
+            old.accusers |= {update.by}
         if update.state is State.ALIVE:
             self._watch.discard(update.member)
         else:
@@ -283,6 +317,21 @@
         if spread:
             self._spread(update)
 
+    def _accuse(self, update: Update, held: Member, spread: bool) -> None:
+        """One more accuser of a member that is suspect already; the first few are told on (Lifeguard)."""
+        same = update.state is held.state is State.SUSPECT and update.incarnation == held.incarnation
+        if same and update.by and update.by not in held.accusers and len(held.accusers) <= self.tuning.accusers:
+            held.accusers |= {update.by}
+            if spread:
+                self._spread(update)
+
+    def _patience(self, member: Member) -> float:
+        """How long ``member`` stays suspect (ms): less with each other member that accuses it on its own."""
+        t = self.tuning
+        others = min(max(0, len(member.accusers) - 1), t.accusers)
+        share = math.log(others + 1) / math.log(t.accusers + 1) if t.accusers else 1.0
+        return max(t.suspect_ms, t.suspect_most_ms - (t.suspect_most_ms - t.suspect_ms) * share)
+
     def _heard_from(self, name: str, now_ms: float) -> None:
         """A message straight from a member shows it alive at what we know of its incarnation."""
         member = self.members.get(name)
@@ -294,8 +343,12 @@
         left = times if times is not None else max(1, math.ceil(self.tuning.retransmit * math.log2(n + 1)))
         self._queue[update.member] = (update, left)
 
-    def _send(self, to: str, kind: str, seq: int, target: str = "") -> Send:
-        chosen = sorted(self._queue.items(), key=lambda item: -item[1][1])[: self.tuning.piggyback]
+    def _send(self, to: str, kind: str, seq: int, target: str = "", most: int = 0) -> Send:
+        held = self.members.get(to)
+        if held is not None and held.state is not State.ALIVE and to not in self._queue:
+            self._queue[to] = (Update(to, held.incarnation, held.state), 1)  # it must hear, to refute
+        first = sorted(self._queue.items(), key=lambda item: (item[0] != to, -item[1][1]))
+        chosen = first[: most or self.tuning.piggyback]
         for name, (update, left) in chosen:
             if left <= 1:
                 del self._queue[name]
--- a/beechslip/fleet/settings.py
+++ b/beechslip/fleet/settings.py
@@ -115,9 +115,13 @@
         raise table.fail("number", f"is {number}, but there are {len(peers)} peers, counted from 0")
     listen = table.text("listen") or str(config.told.get("peer_listen") or peers[number])
     swim = Table(f"{path.name}: membership", values.get("membership", {}),
-                 ("period_ms", "suspect_ms", "indirect"))
-    tuning = Tuning(period_ms=swim.number("period_ms", 500), suspect_ms=swim.number("suspect_ms", 1500),
-                    indirect=swim.whole("indirect", 3, 0, 16))
+                 ("period_ms", "suspect_ms", "suspect_most_ms", "accusers", "indirect"))
+    least = swim.number("suspect_ms", 1500)
+    longest = swim.number("suspect_most_ms", 4 * least)
+    if longest < least:
+        raise swim.fail("suspect_most_ms", f"is {longest:g}, under suspect_ms {least:g}")
+    tuning = Tuning(period_ms=swim.number("period_ms", 500), suspect_ms=least, suspect_most_ms=longest,
+                    accusers=swim.whole("accusers", 3, 0, 16), indirect=swim.whole("indirect", 3, 0, 16))
     return FleetConfig(table.text("name"), number, table.address("listen", listen),
                        tuple(table.address("peers", p) for p in peers), table.number("tick_ms", 50, most=1000),
                        table.text("history"), tuning, {t: values.get(t, {}) for t in TABLES}, path.name)
