--- a/beechslip/duties/shared.py
+++ b/beechslip/duties/shared.py
@@ -84,13 +84,16 @@
 
     kinds = frozenset({"ping", "ack", "ping-req", "report"})
 
-    def __init__(self, shared: SharedProber, clock: Clock, counters: Counters) -> None:
+    def __init__(self, shared: SharedProber, clock: Clock, counters: Counters,
+                 note: Callable[..., None] = lambda kind, **facts: None) -> None:
         self._shared, self.node, self._clock, self._counters = shared, shared.node, clock, counters
+        self._note = note  # told of each duty that starts
         self._tasks: set[asyncio.Task[None]] = set()
 
     def tick(self, now_ms: float) -> list[Send]:
         sends, start = self.node.tick(now_ms)
         for duty in start:
+            self._note("probe", name=duty, rank=self.node.rank(duty))
             task = asyncio.get_running_loop().create_task(self._do(duty))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- a/beechslip/fleet/membership.py
+++ b/beechslip/fleet/membership.py
@@ -15,8 +15,8 @@
 other members accuse the same peer on their own (A. Dadgar, J. Phillips, J. Currey, "Lifeguard: Local Health Awareness
 for More Accurate Failure Detection", DSN-W 2018: LHA-Suspicion): lost datagrams make one accuser, a death makes many.
 Whoever is sent anything while suspect is told so in it (Lifeguard's buddy system). A member that hears itself
-suspected raises its incarnation number and so refutes it. Every message carries up to ``piggyback`` updates, each sent
-about ``retransmit * log2(n + 1)`` times; while there is news, it also goes out by itself every ``gossip_ms``.
+suspected raises its incarnation number and so refutes it. Every message carries up to ``piggyback`` updates, each
+sent about ``retransmit * log2(n + 1)`` times; while there is news, it also goes out by itself every ``gossip_ms``.
 
 Precedence of updates about one member (SWIM 4.2): ``alive(i)`` overrides ``suspect(j)`` and ``alive(j)`` for
 ``i > j``; ``suspect(i)`` overrides ``alive(j)`` for ``i >= j`` and ``suspect(j)`` for ``i > j``; ``dead(i)``
--- a/beechslip/peering.py
+++ b/beechslip/peering.py
@@ -107,7 +107,7 @@
         view = Membership(me, clock.steady_ms(), names, fleet.tuning, int(clock.now_ms()),
                           random.Random(config.seed))
         prober = shared = SharedProber(inner, DutyNode(view, (), duties), clock, counters, post)
-        parts.append(DutyPart(shared, clock, counters))
+        parts.append(DutyPart(shared, clock, counters, history.note))
     lease_part = None
     peering: Peering
     if leases is not None:
--- a/lab/check.py
+++ b/lab/check.py
@@ -10,6 +10,7 @@
 """
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -97,3 +98,17 @@
     for event in sorted(events, key=lambda e: e["t"]):
         checker.feed(event)
     return checker
+
+
+def probe_gaps(events: Iterable[Event], began: float, ended: float) -> dict[str, float]:
+    """By depot: the longest time (ms) within [began, ended] that nobody started a probe of it. A depot that nobody
+    ever probed is none of these; whoever asks knows which there are."""
+    times: dict[str, list[float]] = {}
+    for event in events:
+        if event["kind"] == "probe":
+            times.setdefault(event["name"], []).append(event["t"])
+    gaps = {}
+    for name, probed in times.items():
+        edges = [began, *sorted(t for t in probed if began <= t <= ended), ended]
+        gaps[name] = max(b - a for a, b in itertools.pairwise(edges))
+    return gaps
--- a/lab/planted.py
+++ b/lab/planted.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+from beechslip.duties.node import DutyNode
 from beechslip.leases import node
 from beechslip.leases.fence import Fence
 from beechslip.leases.messages import Ballot, Kind, LeaseMessage
@@ -100,6 +101,17 @@
     return [(node.LeaseNode, "__post_init__", begin)]
 
 
+def _no_takeover() -> list[Patch]:
+    """Members are held alive whatever is heard of them, so nobody does what a silent one owns."""
+    def always(self: DutyNode, name: str) -> bool:
+        return True
+
+    def overdue(self: DutyNode, now_ms: float, duty: str, rank: int, owner: str) -> float:
+        return original(self, now_ms, duty, rank, owner) if rank == 0 else -1.0
+    original = DutyNode._overdue
+    return [(DutyNode, "_alive", always), (DutyNode, "_sure", always), (DutyNode, "_overdue", overdue)]
+
+
 FAULTS: dict[str, tuple[str, Callable[[], list[Patch]]]] = {
     "no-quiet": ("an acceptor answers at once after a restart", _no_quiet),
     "timer-at-answer": ("the holder's timer starts when a majority has accepted", _timer_at_answer),
@@ -108,6 +120,7 @@
     "no-fence": ("a taker takes every token", _no_fence),
     "any-promise": ("an acceptor accepts a ballot that it did not promise in this life", _any_promise),
     "one-set": ("the new declared set alone counts from the moment it is heard of", _one_set),
+    "no-takeover": ("what a silent doorman owns is left to it", _no_takeover),
     "low-tokens": ("rounds begin at 1 after every start", _low_tokens),
 }
 
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -49,6 +49,7 @@
     turned_down: int = 0  # acts that a fence refused
     census: bool = False  # at the end all that live have one census that counts all that live
     answered: bool = True  # every request of the load has exactly one final answer
+    probe_gap_s: float = 0.0  # no depot goes unprobed for longer, from 3 s after the start; 0: not judged
     tokens: bool = True  # tokens rise from holder to holder
 
 
@@ -131,7 +132,7 @@
     if not isinstance(faults, list):
         raise table.fail("fault", "must be tables, [[fault]]")
     must = Table(f"{path.name}: must", values.get("must", {}),
-                 ("holds", "handovers", "turned_down", "census", "answered", "tokens"))
+                 ("holds", "handovers", "turned_down", "census", "answered", "probe_gap_s", "tokens"))
     disks: dict[int, str] = {}
     for n, one in enumerate(values.get("disk", [])):
         disk = Table(f"{path.name}: disk {n}", one, ("who", "how"))
@@ -146,7 +147,7 @@
                      key=lambda f: f.at_s)),
         Must(must.whole("holds", 1, 0, 1_000_000), must.whole("handovers", 0, 0, 1_000_000),
              must.whole("turned_down", 0, 0, 1_000_000), must.flag("census"), must.flag("answered", True),
-             must.flag("tokens", True)),
+             must.number("probe_gap_s", 0.0, least=-1e-9, most=MOST_S), must.flag("tokens", True)),
         disks, table.texts("plants"))
 
 
--- a/lab/world.py
+++ b/lab/world.py
@@ -15,7 +15,7 @@
 import orjson
 from hdrh.histogram import HdrHistogram
 
-from lab.check import LeaseChecker, Violation, check_leases
+from lab.check import LeaseChecker, Violation, check_leases, probe_gaps
 from lab.processes import DoormanProcess, steady_ms
 from lab.relay import TcpRelay, UdpMesh, Weather
 from lab.scenario import Fault, Scenario, toml_value
@@ -62,6 +62,7 @@
         self.answers: dict[str, int] = {}
         self.latency = HdrHistogram(1, 60_000_000, 3)  # microseconds
         self.taken = self.wrong = 0
+        self.ended = 0.0
         self._stack = contextlib.AsyncExitStack()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -150,6 +151,7 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await task
         censuses = await self._censuses() if self.scenario.must.census else {}
+        self.ended = steady_ms()
         self._note("all", "end")
         await asyncio.gather(*(d.end(signal.SIGTERM) for d in self.doormans))
         return self._result(began, censuses)
@@ -323,6 +325,13 @@
                                  ("acts turned down", must.turned_down, counts.get("turned_down", 0))):
             if got < least:
                 failed.append(f"{what}: {got}, fewer than {least}")
+        if must.probe_gap_s:
+            gaps = probe_gaps(events, began + 3_000, self.ended)
+            missing = [d.name for d in self.depots if d.name not in gaps]
+            late = {name: round(gap) for name, gap in gaps.items() if gap > 1000 * must.probe_gap_s}
+            if late or missing:
+                violations = [*violations, Violation("unprobed", self.ended, f"{late} ms, never {missing}")]
+                failed.append(f"unprobed: {late} ms, over {must.probe_gap_s:g} s; never: {missing}")
         if must.census:
             live = sorted(censuses)
             for name, page in censuses.items():
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -25,7 +25,8 @@
 FILES = sorted((ROOT / "lab" / "scenarios").glob("*.toml"))
 CASES = [(f, plant) for f in FILES for plant in ("", *read_scenario(f).plants)]
 AT_ONCE = 3  # scenarios side by side; each has five to twenty processes
-FOUND = {"no-fence": "stale-act", "no-guard": "act-unheld"}  # the rule that finds a planted fault, or two-holders
+# The rule that finds a planted fault; two-holders for the others.
+FOUND = {"no-fence": "stale-act", "no-guard": "act-unheld", "no-takeover": "unprobed"}
 
 
 @pytest.fixture(scope="session")
@@ -55,7 +56,7 @@
         rule = FOUND.get(plant, "two-holders")
         assert any(v.startswith(rule) for v in result.violations), (result.failed, result.counts)
     else:
-        assert result.failed == [] and result.counts["hold"] > 0
+        assert result.failed == [] and result.counts.get("hold", 0) + result.counts.get("probe", 0) > 0
 
 
 def test_results_are_written_and_read_again(results: dict[tuple[str, str], Result], tmp_path: Path) -> None:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -3,15 +3,21 @@
 
 import contextlib
 import dataclasses
+from pathlib import Path
+from typing import cast
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from aldershed.adapter import read_settings
 from beechslip.clock import ManualClock
+from beechslip.config import Address, Config, ConfigError
+from beechslip.core.model import Prober
 from beechslip.counters import Counters
 from beechslip.fleet.codec import MOST_BYTES, CodecError, encode
 from beechslip.fleet.membership import Message
+from beechslip.fleet.settings import FleetConfig, read_fleet
 from beechslip.leases.census import Census
 from beechslip.leases.fence import MOST_NAMES, Fence
 from beechslip.leases.messages import (
@@ -30,9 +36,11 @@
 from beechslip.leases.part import LeasePart
 from beechslip.leases.paxos import Acceptor, LeaseTuning, Proposer, adjoin, majority
 from beechslip.leases.tasks import TaskRunner
+from beechslip.peering import build
 from lab.check import check_leases
 from lab.planted import FAULTS, plant
 from lab.search import Bounds, Search
+from lab.stand import SETTINGS
 from lab.virtual import LEASE, Net, Plan, VirtualFleet, play, schedule
 
 T = LeaseTuning(1000.0, 1000.0, 100.0, 0.01)
@@ -236,3 +244,38 @@
         with plant(name):
             assert text
         assert (Proposer.__dict__["held"], Acceptor.__dict__["answer"]) == before[name]
+
+
+# A reload ----------------------------------------------------------------------------------------------------
+
+HEAD = 'enabled = true\nnumber = 0\npeers = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"]\n'
+
+
+def _fleet(folder: Path, text: str) -> FleetConfig:
+    path = folder / "fleet.toml"
+    path.write_text(HEAD + text)
+    fleet = read_fleet(path, Config("n", Address("127.0.0.1", 9), 0, read_settings(SETTINGS)))
+    assert fleet is not None
+    return fleet
+
+
+def test_a_reload_moves_to_another_set_by_both_and_refuses_what_binds_from_a_start(tmp_path: Path) -> None:
+    lease = "[leases]\nenabled = true\ndrills = ['x']\n"
+    clock, config = ManualClock(), Config("n", Address("127.0.0.1", 9), 0, read_settings(SETTINGS))
+    peering = build(_fleet(tmp_path, lease + "members = 3\n"), config, cast(Prober, None), clock, Counters(), print)
+    assert peering.leases is not None
+    node = peering.leases.node
+    for text, named in ((lease + "longest_ms = 9000\n", "longest_ms"), (lease + "drift = 0.1\n", "drift")):
+        with pytest.raises(ConfigError, match=named):
+            peering.reload(_fleet(tmp_path, text))
+    with pytest.raises(ConfigError, match="number"):
+        peering.reload(dataclasses.replace(_fleet(tmp_path, lease), number=1))
+    assert node.proposers["x"].sets == node.acceptors["x"].sets == (3,)
+    peering.reload(_fleet(tmp_path, lease + "members = 4\n"))
+    assert node.proposers["x"].sets == node.acceptors["x"].sets == (3, 4)
+    for members in (2, 1):
+        peering.reload(_fleet(tmp_path, lease + f"members = {members}\n"))
+    with pytest.raises(ConfigError, match="under way"):
+        peering.reload(_fleet(tmp_path, lease + "members = 3\n"))
+    page = peering.leases.state()
+    assert page["member"] == "d0" and page["leases"]["x"]["sets"] == [3, 4, 2, 1]  # type: ignore[index]
