--- /dev/null
+++ b/beechslip/budgets/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet-wide whole divided among doormans, and divided anew as they come and go, never summing to more. Pure."""
