--- a/bench/duties.py
+++ b/bench/duties.py
@@ -12,6 +12,7 @@
 import argparse
 import sys
 import time
+from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
@@ -45,15 +46,19 @@
 def main() -> None:
     parser = argparse.ArgumentParser()
     parser.add_argument("--seeds", type=int, default=2)
+    parser.add_argument("--workers", type=int, default=5)
     parser.add_argument("--out", type=Path, default=Path(__file__).parent / "results")
     args = parser.parse_args()
     tuning, duty = Tuning(), DutyTuning()
     bound = 2 * duty.interval_ms + 6 * tuning.period_ms + tuning.suspect_ms
     rows: list[tuple[int, float, dict[str, float]]] = []
+    cells = [(size, loss, seed) for size in reversed(SIZES) for loss in LOSSES for seed in range(1, args.seeds + 1)]
+    with ProcessPoolExecutor(args.workers) as pool:
+        plays = dict(zip(cells, pool.map(play, *zip(*cells, strict=True)), strict=True))
     for size in SIZES:
         for loss in LOSSES:
-            plays = [play(size, loss, seed) for seed in range(1, args.seeds + 1)]
-            worst = {key: max(p[key] for p in plays) for key in plays[0]}
+            mine = [plays[size, loss, seed] for seed in range(1, args.seeds + 1)]
+            worst = {key: max(p[key] for p in mine) for key in mine[0]}
             rows.append((size, loss, worst))
             print(size, loss, {k: round(v, 3) for k, v in worst.items()}, flush=True)
     args.out.mkdir(parents=True, exist_ok=True)
