--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import random
 import signal
@@ -170,15 +171,25 @@
     lab = subprocess.Popen([sys.executable, "-m", "lab", "run", "lab/scenarios/weather.toml", "--out", str(tmp_path)],
                            cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
 
-    def children() -> list[int]:
-        found = subprocess.run(["pgrep", "-f", "-P", str(lab.pid), "beechslip"], capture_output=True, text=True)
-        return [int(pid) for pid in found.stdout.split()]
+    def children() -> list[Path]:
+        """The command lines of the lab's children that are doormans."""
+        found = []
+        for stat in Path("/proc").glob("[0-9]*/stat"):
+            with contextlib.suppress(OSError):
+                if stat.read_text().rsplit(")", 1)[1].split()[1] == str(lab.pid):
+                    line = stat.with_name("cmdline")
+                    found += [line] if b"beechslip" in line.read_bytes() else []
+        return found
+
+    def running(line: Path) -> bool:
+        with contextlib.suppress(OSError):
+            return b"beechslip" in line.read_bytes()  # one that has ended and is not yet reaped has none
+        return False
 
     async def wait() -> None:
         await asyncio.wait_for(until(lambda: len(children()) == 5), 30)
-        pids = children()
+        lines = children()
         os.kill(lab.pid, signal.SIGKILL)
         lab.wait()
-        lines = [Path(f"/proc/{pid}/cmdline") for pid in pids]
-        await asyncio.wait_for(until(lambda: not any(one.exists() and one.read_bytes() for one in lines)), 10)
+        await asyncio.wait_for(until(lambda: not any(map(running, lines))), 10)
     asyncio.run(wait())
