--- a/aldershed/__init__.py
+++ b/aldershed/__init__.py
@@ -18,9 +18,11 @@
     ProbeResult,
     Purge,
     Refuse,
+    Regions,
     Request,
     SetTimer,
     Settings,
+    Shares,
     StoreEntry,
     StoreList,
     Timer,
@@ -30,6 +32,6 @@
 
 __all__ = [
     "Action", "Attempt", "Cancel", "ClassRule", "ClientGone", "Event", "Fail", "FirstByte", "Log", "Outcome",
-    "PeerMessage", "Probe", "ProbeResult", "Purge", "Refuse", "Request", "Router", "SetTimer", "Settings",
-    "StoreEntry", "StoreList", "Timer", "Watch",
+    "PeerMessage", "Probe", "ProbeResult", "Purge", "Refuse", "Regions", "Request", "Router", "SetTimer", "Settings",
+    "Shares", "StoreEntry", "StoreList", "Timer", "Watch",
 ]
--- a/aldershed/interface.py
+++ b/aldershed/interface.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
@@ -175,6 +176,28 @@
     settings: Settings
 
 
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """This instance's parts of what the fleet may use together. What is not named is divided as before.
+
+    ``retries``: retries in vain that may be made now (``None``: not told). ``fills``: by store, the most attempts in
+    flight to and through it. ``cold``: by store, the part of what it bears warm that is this instance's while it is
+    cold (transfers at full pace).
+    """
+
+    retries: float | None = None
+    fills: Mapping[str, float] = field(default_factory=dict)
+    cold: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Regions:
+    """Where the fleet stands with stores of which it goes away, or comes back, as one: ``shares`` by store, the part
+    of the objects, in an order that is the same for all, that may go there (0: none). Of others: all."""
+
+    shares: dict[str, float] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """Bytes from another instance of the tier."""
@@ -185,7 +208,7 @@
 
 Event: TypeAlias = (
     StoreList | Request | Outcome | ProbeResult | FirstByte | ClientGone | Purge | Timer | PeerMessage
-    | Retune
+    | Retune | Shares | Regions
 )
 
 # Actions ------------------------------------------------------------------------------------------
--- a/aldershed/logic.py
+++ b/aldershed/logic.py
@@ -1,9 +1,7 @@
 """Every decision of aldershed. Its types, events and actions: ``aldershed/interface.py``.
 
-The ordinary path is request collapsing: all requests for a copy go to one hashed cache of the zone and
-one parent hashed alike by every proxy, with the join switch set, so that concurrent misses share one
-fill; a request that waited too long on a failed fill is ended. The rest guards that path: cold stores,
-purges, effects, health, and bounds on what a failure may cost. Pure: events and time in, actions out.
+The ordinary path is request collapsing: all requests for a copy go to one hashed cache of the zone and one
+parent hashed alike by every proxy, joined; the rest guards that path. Pure: events in, actions out.
 """
 from __future__ import annotations
 
@@ -200,7 +198,8 @@
         # From parents, which hold half of what they are asked for, and straight from the origin.
         self.fills = {False: Fills(ROOM_CUT), True: Fills(ORIGIN_CUT)}
         self.densities: deque[float] = deque(maxlen=RECENT)  # worth for each second of sending, lately
-        self.retries = RETRY_BURST
+        self.retries, self.told = RETRY_BURST, i.Shares()  # told: of the fleet's wholes
+        self.places: dict[str, float] = {}  # by store, the part of the objects that the fleet leaves there
         self.purged_objects: dict[str, float] = {}
         self.purged_groups: dict[int, float] = {}
         self.purge_order: deque[tuple[float, str, int]] = deque()
@@ -231,6 +230,12 @@
             case i.Retune():
                 self.set, self.sized = event.settings, event.settings.weights in ("nominal", "rough")
                 self.on_list(i.StoreList("changes"))  # kinds and the zone are settings too
+            case i.Shares():
+                self.told, self.retries = event, self.retries if event.retries is None else event.retries
+            case i.Regions():
+                for name in [n for n in self.stores if event.shares.get(n, 1.0) > 0.0 == self.places.get(n)]:
+                    self.stores[name].heal()  # it comes back for all alike, whatever was met there before
+                self.places = event.shares
             case i.FirstByte():
                 flight = self.flights.get((event.request, event.attempt))
                 if flight:
@@ -264,8 +269,7 @@
             return
         if news.kind != "changes":
             named = {entry.store for entry in news.entries}
-            for name in [name for name in self.stores if name not in named]:
-                del self.stores[name]
+            self.stores = {name: store for name, store in self.stores.items() if name in named}
         for entry in news.entries:
             known = self.stores.get(entry.store)
             if entry.state == "gone":
@@ -425,9 +429,12 @@
         Objects return in a fixed order as the share grows, so that those not yet back keep one home.
         Harm: with nothing learned yet, a cold store idles; its objects are filled once more elsewhere.
         """
+        key = held.source_key if store in self.parents else held.key
+        if self.places and mix(key, ~store.salt & MASK) >= self.places.get(store.name, 1.0):
+            return False
         share = self.warmth(store)
-        if share >= 1.0:
-            return True
+        if share >= 1.0 or store.out + 1.0 > self.told.fills.get(store.name, math.inf):
+            return store.out + 1.0 <= self.told.fills.get(store.name, math.inf)
         parent = self.role(store) == "parent"
         multiple = (self.set.parent_fall_multiple if parent else self.set.fall_multiple) or UNKNOWN_MULTIPLE
         share *= multiple / 2.0
@@ -444,11 +451,12 @@
         return store.sent_work + work <= budget
 
     def part(self, store: Store, parent: bool) -> float:
-        """This proxy's part of what a warm store bears: of its stated link, else what was seen from here."""
+        """This proxy's part of what a warm store bears: told, of its stated link, or seen from here."""
+        if store.name in self.told.cold:
+            return self.told.cold[store.name]
         sharers = max(self.set.proxies if parent else self.set.proxies_here, 0) or UNKNOWN_SHARERS
-        if self.sized and store.entry.weight > 0:
-            return store.entry.weight / sharers
-        return max(self.bear["parent" if parent else "cache"], UNKNOWN_BEAR / sharers)
+        stated = store.entry.weight / sharers if self.sized and store.entry.weight > 0 else 0.0
+        return stated or max(self.bear["parent" if parent else "cache"], UNKNOWN_BEAR / sharers)
 
     def charge(self, store: Store, work: float) -> None:
         if self.warmth(store) < 1.0:
@@ -460,8 +468,7 @@
         return self.mean_work.get(rule.name) or rule.aim or WAIT_LIMIT
 
     def learn_work(self, rule: i.ClassRule, work: float) -> None:
-        old = self.mean_work.get(rule.name)
-        self.mean_work[rule.name] = work if old is None else old + (work - old) * LEARN
+        self.mean_work[rule.name] = (old := self.mean_work.get(rule.name, work)) + (work - old) * LEARN
 
     # Purges --------------------------------------------------------------------------------------
 
@@ -526,7 +533,8 @@
         if cache is None and self.set.direct and source is not None and self.closed(held):
             # No cache is listed: straight to the parent, where the site permits it and the parent has room.
             cache = source if held.rule.write or self.admitted(held, [source]) else None
-            if source is not self.origin and self.origin and self.origin.entry.state == "ready":
+            ready = self.origin is not None and self.origin.entry.state == "ready"
+            if source is not self.origin and self.origin and ready and self.allowed(self.origin, held):
                 source = self.origin
         if cache is None or (source is None and held.rule.write):
             self.give_up(held)
@@ -536,13 +544,13 @@
         self.attempt(held, cache, source)
 
     def closed(self, held: Held) -> bool:
-        """Whether the zone has no cache for it: each that is listed is gone, or is cold and full.
+        """Whether the zone has no cache for it: each listed is gone, cold and full, or left by the fleet.
 
         Guards against a lost station that asks dead caches until the list tells of it, and against one that
         comes back and refuses, for as long as it warms, what the parents had served while it was away. Harm:
         parents carry what their room allows, at the cost of fills for others.
         """
-        return all(self.gone(s) or (self.warmth(s) < 1.0 and not self.allowed(s, held)) for s in self.caches)
+        return all(self.gone(s) or not self.allowed(s, held) for s in self.caches)
 
     def gone(self, store: Store) -> bool:
         """Out, with its connections refused or for errors of its own: no need to wait for the list."""
@@ -823,8 +831,7 @@
         store.backoff = min(max(2.0 * store.backoff, EJECT_FIRST), EJECT_MOST)
         store.until = self.now + store.backoff * self.random.uniform(0.9, 1.1)  # not all proxies at once
         first, store.ejected, store.probed = not store.ejected, True, False
-        blind = store.flawed or (store in self.parents and not self.set.tells)
-        store.trials = BLIND_TRIALS if blind else 1
+        store.trials = BLIND_TRIALS if store.flawed or (store in self.parents and not self.set.tells) else 1
         if self.set.can_probe:
             self.set_timer(store.until - self.now, store.name)
         if first and store in self.caches:
@@ -836,13 +843,10 @@
     def on_probe(self, probe: i.ProbeResult) -> None:
         """A probe shows that the process runs: enough for one trial request, not for more."""
         store = self.stores.get(probe.store)
-        if store is None:
-            return
-        if probe.result == "ok":
+        if store is not None and probe.result == "ok":
             store.probed, store.heard = store.ejected, self.now
-        else:
-            store.lost = True
-            store.until = min(store.until, self.now)
+        elif store is not None:
+            store.lost, store.until = True, min(store.until, self.now)
             self.eject(store)
 
     def restore(self, store: Store) -> None:
--- a/beechslip/cli.py
+++ b/beechslip/cli.py
@@ -1,4 +1,4 @@
-"""The command line: ``run``, ``agent``, ``instance`` and ``events``."""
+"""The command line: ``run``, ``agent``, ``instance``, ``region`` and ``events``."""
 from __future__ import annotations
 
 import argparse
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from beechslip import doorman
+from beechslip.agent import regions
 from beechslip.agent.agent import Agent
 from beechslip.agent.launcher import LocalLauncher
 from beechslip.clock import SystemClock
@@ -30,6 +31,14 @@
     events = commands.add_parser("events", help="print what happened")
     events.add_argument("--instance", default="", help="of this instance only")
     events.add_argument("--limit", type=int, default=100, help="the newest N (100)")
+    region = commands.add_parser("region", help="stations and hubs that the fleet leaves and returns to")
+    words = region.add_subparsers(dest="action", required=True)
+    words.add_parser("list", help="where the fleet stands with each")
+    for name, text in (("out", "leave it, and stay out until it is freed"), ("return", "go back to it by steps"),
+                       ("hold", "change nothing about it by itself"), ("free", "hold it no longer")):
+        word = words.add_parser(name, help=text)
+        word.add_argument("region", help="cache:ZONE or hub:ZONE")
+        word.add_argument("--who", type=int, default=os.getuid(), help="which operator this is (the user's number)")
     instance = commands.add_parser("instance", help="declare and inspect instances")
     actions = instance.add_subparsers(dest="action", required=True)
     add = actions.add_parser("add", help="declare an instance")
@@ -70,6 +79,17 @@
                 store.record(SystemClock().now_ms(), given.name, "removed")
 
 
+def region_command(store: Store, given: argparse.Namespace) -> int:
+    """Exits with 1 if the steward refuses, or none answers."""
+    addresses = regions.ops_addresses(store.instances())
+    if given.action == "list":
+        print("\n".join(regions.table(addresses)))
+        return 0
+    status, text = regions.say(addresses, given.region, given.action, given.who)
+    print(text, file=sys.stdout if status == 200 else sys.stderr)
+    return 0 if status == 200 else 1
+
+
 async def _agent(store: Store) -> None:
     agent = Agent(store, LocalLauncher(), SystemClock())
     for name in (signal.SIGTERM, signal.SIGINT):
@@ -93,6 +113,8 @@
                     for one in store.events(given.instance, given.limit):
                         at = datetime.fromtimestamp(one.at_ms / 1000, UTC).isoformat(timespec="milliseconds")
                         print(f"{one.id}\t{at}\t{one.instance}\t{one.kind}\t{one.detail}")
+                case "region":
+                    return region_command(store, given)
                 case _:
                     instance_command(store, given)
         finally:
--- a/beechslip/core/engine.py
+++ b/beechslip/core/engine.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -30,7 +31,9 @@
     Purged,
     Result,
     Retuned,
+    Spender,
     Taken,
+    Watcher,
 )
 from beechslip.counters import Counters
 
@@ -107,9 +110,10 @@
     """Owns the module. ``post`` is the one way in."""
 
     def __init__(self, settings: i.Settings, module: Module, clock: Clock, prober: Prober,
-                 counters: Counters) -> None:
+                 counters: Counters, spender: Spender | None = None,
+                 watcher: Watcher | None = None) -> None:
         self.settings, self.clock, self.counters = settings, clock, counters
-        self._module, self._prober = module, prober
+        self._module, self._prober, self._spender, self._watcher = module, prober, spender, watcher
         self._urgent, self._ordinary = deque[object](), deque[object]()
         self._posted = asyncio.Event()
         self._open: dict[str, Open] = {}
@@ -158,7 +162,7 @@
                 case Retuned():
                     self.settings = message.settings
                     self._give(None, i.Retune(message.settings))
-                case i.Timer() | i.ProbeResult():
+                case i.Timer() | i.ProbeResult() | i.Shares() | i.Regions():
                     self._give(None, message)
                 case Open():
                     self._on_last_moment(message)
@@ -309,10 +313,14 @@
             return
         now = self.clock.now_ms()
         timeout = min(to_ms(action.timeout) or opened.deadline_ms - now, opened.deadline_ms - now)
+        max_age_ms = to_ms(action.max_age)
+        if self._watcher is not None and not opened.call.write:
+            limit = self._watcher.oldest_ms(action.store, action.source)
+            max_age_ms = min(max_age_ms or limit, limit) if limit < math.inf else max_age_ms
         order = Order(
             call=opened.call, number=number, depot=depot,
             source="" if action.source == action.store else action.source, timeout_ms=timeout,
-            keep=action.keep, max_age_ms=to_ms(action.max_age), join=action.join, renew=action.renew,
+            keep=action.keep, max_age_ms=max_age_ms, join=action.join, renew=action.renew,
             held_only=action.held_only,
         )
         flight = opened.flight = self._flights[action.request, number] = Flight(order, now)
@@ -327,6 +335,8 @@
         """Asked right before the first byte: dialling takes time, and a drain may have been told since."""
         if not self._guards_hold(opened, flight):
             return False
+        if self._spender is not None and not self._spender.spend(flight.order, opened.sent > 0):
+            return False
         flight.started, flight.sent_ms = True, self.clock.now_ms()
         opened.sent += 1
         return True
@@ -396,6 +406,10 @@
             self._flights[order.call.id, order.number] = flight
             self.clock.call_later(ended.hold_ms, lambda: self.post(moot))
             return
+        if flight.started and self._spender is not None:
+            self._spender.ended(order, ended)
+        if self._watcher is not None and (flight.started or ended.result == "connect_failed"):
+            self._watcher.ended(order, ended, max((ended.at_ms or now) - flight.sent_ms, 0.0))
         self._give(order.call.id, outcome)
 
     # Depots ---------------------------------------------------------------------------------------
@@ -419,6 +433,8 @@
 
     def _on_purged(self, purged: Purged) -> None:
         self.counters.add("purges")
+        if self._watcher is not None:
+            self._watcher.purged(purged)
         age = max(self.clock.now_ms() - purged.time_ms, 0.0)
         self._give(None, i.Purge(purged.object, purged.group, to_seconds(age)))
 
--- a/beechslip/core/model.py
+++ b/beechslip/core/model.py
@@ -123,6 +123,31 @@
         ...
 
 
+class Spender(Protocol):
+    """Parts of what the fleet may use together; never raises and never blocks."""
+
+    def spend(self, order: Order, again: bool) -> bool:
+        """Asked right before an attempt's first byte, as the last of its guards: whether there is room for it.
+        ``again``: an earlier attempt of the request was sent."""
+        ...
+
+    def ended(self, order: Order, ended: Ended) -> None:
+        """An attempt that was allowed has ended."""
+        ...
+
+
+class Watcher(Protocol):
+    """Sees what becomes of attempts, and bounds the age of copies beside the module; never raises, never blocks."""
+
+    def ended(self, order: Order, ended: Ended, elapsed_ms: float) -> None: ...
+
+    def purged(self, purge: Purged) -> None: ...
+
+    def oldest_ms(self, *depots: str) -> float:
+        """How old a copy from these depots may be (inf: no limit)."""
+        ...
+
+
 class Answerer(Protocol):
     """Takes the one final answer to a request; never raises and never blocks."""
 
--- a/beechslip/doorman.py
+++ b/beechslip/doorman.py
@@ -85,7 +85,7 @@
             raise ConfigError("the fleet's file is off now: what it turned on ends with a restart only")
         from beechslip.peering import settings_digest
 
-        self._peering.reload(fleet)
+        self._peering.reload(fleet, config.settings)
         self._peering.settings_digest = settings_digest(config)
 
     def _retune(self, settings: Settings) -> None:
@@ -118,7 +118,9 @@
                                   lambda message: posted[0](message))
             prober = self._peering.prober
         peering = self._peering
-        engine = Engine(settings, Router(settings, config.seed), self.clock, prober, self.counters)
+        engine = Engine(settings, Router(settings, config.seed), self.clock, prober, self.counters,
+                        peering.budgets if peering is not None else None,
+                        peering.regions if peering is not None else None)
         posted.append(engine.post)
         last, news, unread = parse_known(config.known)
         if unread:
@@ -134,9 +136,9 @@
             (front.send_away if away else front.welcome)()
             return True
 
-        leases = peering.leases if peering is not None else None
+        pages = peering.pages() if peering is not None else None
         ops = OpsFront(self.clock, self.counters, lambda: front.taking, lambda: drain(True),
-                       lambda: drain(False), {"/leases": leases.state} if leases is not None else None)
+                       lambda: drain(False), pages, peering.calls() if peering is not None else None)
         names = None
         if config.dns is not None:
             from beechslip.dns.front import DnsFront  # on the platform it is off, and dnspython stays out
@@ -145,6 +147,10 @@
             names = DnsFront(config.dns, settings, self.clock,
                              lambda: engine.listed.is_set() and not front.away, engine.post, self.counters)
             self._tuned.append(names.retune)
+        if peering is not None and peering.budgets is not None:
+            self._tuned.append(peering.budgets.retune)
+        if peering is not None and peering.regions is not None:
+            self._tuned.append(peering.regions.retune)
         self._tuned += [client.retune, front.retune, lambda settings: engine.post(Retuned(settings))]
         tasks = [asyncio.create_task(engine.run())]
         try:
@@ -161,6 +167,8 @@
                 tasks.append(asyncio.create_task(self._reader.run()))
             # The list is known before /health answers, or the first requests would find no depot.
             await engine.listed.wait()
+            if peering is not None and peering.budgets is not None:
+                await peering.budgets.ready()
             await front.start(config.listen, config.fd)
             log.info("%s listens on %s", config.name, config.listen)
             await self._serve(tasks)
--- a/beechslip/fleet/codec.py
+++ b/beechslip/fleet/codec.py
@@ -29,7 +29,7 @@
 VERSION = 2
 MOST_BYTES = 256  # the platform's bound on a datagram between doormans (a longer one voids a run)
 MOST_NAME = 128
-KINDS = frozenset({"ping", "ack", "ping-req", "report", "lease", "act"})
+KINDS = frozenset({"ping", "ack", "ping-req", "report", "lease", "act", "budget", "region"})
 
 
 class CodecError(ValueError):
--- a/beechslip/fleet/peers.py
+++ b/beechslip/fleet/peers.py
@@ -89,6 +89,10 @@
                 self.counters.add("fault.fleet")
                 log.exception("a part of the fleet failed")
 
+    def say(self, sends: list[Send]) -> None:
+        """What a part says between its ticks."""
+        self._send(sends)
+
     def _send(self, sends: list[Send]) -> None:
         for send in sends:
             address = self._addresses.get(send.to)
--- a/beechslip/fleet/settings.py
+++ b/beechslip/fleet/settings.py
@@ -17,7 +17,7 @@
 FLEET_FILE = Path(__file__).resolve().parents[2] / "deploy" / "fleet.toml"
 OLD_FILE = FLEET_FILE.with_name("duties.toml")
 MOST_MEMBERS = 512
-TABLES = ("membership", "duties", "leases", "census")
+TABLES = ("membership", "duties", "leases", "census", "budgets", "regions")
 HEAD = ("enabled", "name", "listen", "peers", "number", "tick_ms", "history")
 
 
--- a/beechslip/leases/node.py
+++ b/beechslip/leases/node.py
@@ -76,6 +76,12 @@
         ballot = acceptor.in_force(now_ms) if acceptor else None
         return ballot.member if ballot else ""
 
+    def ballot(self, name: str, now_ms: float) -> tuple[str, int]:
+        """The holder that this member's acceptor knows, with its ballot's round; ("", 0) if none."""
+        acceptor = self.acceptors.get(name)
+        ballot = acceptor.in_force(now_ms) if acceptor else None
+        return (ballot.member, ballot.round) if ballot else ("", 0)
+
     def state(self, now_ms: float) -> dict[str, dict[str, object]]:
         """By name, for operators: wanted, held, token, the holder known of, ms left, sets gone by."""
         return {name: {"wanted": name in self.wanted, "held": p.held(now_ms) is not None, "token": p.token,
--- a/beechslip/leases/settings.py
+++ b/beechslip/leases/settings.py
@@ -55,7 +55,7 @@
     drills = table.texts("drills")
     if len(drills) >= MOST_NAMES or any(not d.isascii() or not 0 < len(d) <= MOST_NAME for d in drills):
         raise table.fail("drills", f"must be fewer than {MOST_NAMES} names of 1 to {MOST_NAME} characters")
-    if len(set(drills)) < len(drills) or "census" in drills:
+    if len(set(drills)) < len(drills) or {"census", "budgets", "steward"} & set(drills):
         raise table.fail("drills", "has a name twice, or one that is a task's")
     tuning = LeaseTuning(lease, longest, margin, drift, resend_ms=max(2 * fleet.tick_ms, lease / 30),
                          attempt_ms=max(6 * fleet.tick_ms, 0.4 * lease),
--- a/beechslip/platform/depots.py
+++ b/beechslip/platform/depots.py
@@ -15,7 +15,7 @@
 from beechslip.core.model import Depot, Ended, Order
 from beechslip.counters import Counters
 from beechslip.platform.answers import Spoilt
-from beechslip.platform.links import Link, Lost, Pool, Told
+from beechslip.platform.links import Link, LinkGate, Lost, Pool, Told
 from beechslip.platform.parse import MOST_ANSWER, depot_headers, depot_target, parse_answer
 
 log = logging.getLogger("beechslip.depots")
@@ -41,6 +41,11 @@
         self._pool.idle_ms = (to_ms(settings.conn_idle) or IDLE_MS) * IDLE_EARLY
         self._pool.dial_ms = to_ms(settings.connect_wait) or DIAL_MS
 
+    def bound(self, gate: LinkGate) -> Callable[[str, float], None]:
+        """Ask ``gate`` before each connection; what comes back ends a depot's idle ones beyond a number."""
+        self._pool.gate = gate
+        return self._pool.trim
+
     async def close(self) -> None:
         self._pool.close()
         await asyncio.sleep(0)  # for the connections to see their end
@@ -100,11 +105,12 @@
         ended.at_ms = told.read_ms
         return ended
 
-    async def probe(self, depot: Depot) -> Ended:
+    async def probe(self, depot: Depot, may_start: Callable[[], bool] = lambda: True) -> Ended:
+        """Ask ``may_start`` right before the first byte; "moot" if it says no."""
         message = f"GET {self._probe_path} HTTP/1.1\r\nHost: {depot.address}\r\n\r\n".encode()
         try:
             async with asyncio.timeout(PROBE_MS / 1000):
-                told = await self._ask(depot, message, lambda: True)
+                told = await self._ask(depot, message, may_start)
         except TimeoutError:
             return Ended("timeout")
         if isinstance(told, Ended):
--- a/beechslip/platform/links.py
+++ b/beechslip/platform/links.py
@@ -2,9 +2,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Protocol
 
 from beechslip.clock import Clock
 from beechslip.config import parse_address
@@ -19,6 +21,16 @@
 Key = tuple[str, str]  # a depot's name and address: a new depot may take the address of one that has gone
 
 
+class LinkGate(Protocol):
+    """Bounds a depot's connections beside the pool's own bound."""
+
+    def may_dial(self, depot: str) -> bool:
+        """Asked right before a dial; a True counts until ``link_ended``."""
+        ...
+
+    def link_ended(self, depot: str) -> None: ...
+
+
 class Lost(Exception):
     """The connection ended under a request, which may or may not have run."""
 
@@ -103,6 +115,8 @@
         self._dialling = 0
         self._idle: dict[Key, deque[Link]] = {}
         self._waiting: deque[asyncio.Future[None]] = deque()
+        self.gate: LinkGate | None = None
+        self._gated: dict[str, deque[asyncio.Future[None]]] = {}  # by depot: those whom the gate has turned back
         self._listed: frozenset[Key] | None = None
 
     def follow(self, depots: Iterable[Depot]) -> None:
@@ -118,16 +132,18 @@
         The wait for a place in a full pool is not part of the dial: it says nothing of the depot.
         """
         while (link := self._rested(key)) is None:
-            if len(self._links) + self._dialling < self._most or self._make_room():
+            room = len(self._links) + self._dialling < self._most or self._make_room()
+            if room and (self.gate is None or self.gate.may_dial(key[0])):
                 return await self._dial(key)
             self.counters.add("depot.waits")
             place = asyncio.get_running_loop().create_future()
-            self._waiting.append(place)
+            line = self._gated.setdefault(key[0], deque()) if room else self._waiting
+            line.append(place)
             try:
                 await place
             except asyncio.CancelledError:
                 if place.done() and not place.cancelled():
-                    self._wake()  # the place goes to the next in line
+                    self._wake(key[0])  # the place goes to the next in line
                 raise
         return link
 
@@ -158,14 +174,18 @@
         return True
 
     async def _dial(self, key: Key) -> Link:
-        address = parse_address(key[1])
+        address, made = parse_address(key[1]), list[Link]()
+
+        def make() -> Link:
+            made.append(Link(self, key))
+            return made[0]
         self._dialling += 1
         try:
             async with asyncio.timeout(self.dial_ms / 1000.0):
-                _, link = await asyncio.get_running_loop().create_connection(
-                    lambda: Link(self, key), address.host, address.port)
+                _, link = await asyncio.get_running_loop().create_connection(make, address.host, address.port)
         except BaseException:
-            self._wake()
+            if not made:  # one that was made tells of its end itself
+                self._closed(key[0])
             raise
         finally:
             self._dialling -= 1
@@ -180,24 +200,43 @@
             return
         link.freed_ms = self.clock.now_ms()
         self._idle.setdefault(link.key, deque()).append(link)
-        self._wake()
+        self._wake(link.key[0])
 
     def ended(self, link: Link) -> None:
-        """The one place where a connection's descriptor is given back."""
+        """The one place where a connection's descriptor and its part of the depot's are given back."""
         self._links.discard(link)
         idle = self._idle.get(link.key)
         if idle and link in idle:
             idle.remove(link)
         if idle is not None and not idle:
             del self._idle[link.key]
-        self._wake()
-
-    def _wake(self) -> None:
-        while self._waiting:
-            place = self._waiting.popleft()
-            if not place.done():
-                place.set_result(None)
-                return
+        self._closed(link.key[0])
+
+    def _closed(self, depot: str) -> None:
+        if self.gate is not None:
+            self.gate.link_ended(depot)
+        self._wake(depot)
+
+    def trim(self, depot: str, most: float) -> None:
+        """The gate allows ``most`` connections to ``depot`` now: idle ones beyond are ended, and if there is room
+        whoever waits for one tries again."""
+        links = [link for link in self._links if link.key[0] == depot]
+        idle = [link for key, line in self._idle.items() if key[0] == depot for link in line]
+        for link in idle[:max(0, math.ceil(len(links) - most))]:
+            link.end()
+        if len(links) + 1 <= most:
+            self._wake(depot)
+
+    def _wake(self, depot: str) -> None:
+        """One that waits for this depot's room, and one that waits for the pool's."""
+        for line in (self._gated.get(depot), self._waiting):
+            while line:
+                place = line.popleft()
+                if not place.done():
+                    place.set_result(None)
+                    break
+        if depot in self._gated and not self._gated[depot]:
+            del self._gated[depot]
 
     def close(self) -> None:
         for link in list(self._links):
--- a/beechslip/platform/ops.py
+++ b/beechslip/platform/ops.py
@@ -3,7 +3,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import orjson
 from aiohttp import web
@@ -22,14 +22,15 @@
 
 Act = Callable[[], bool]
 Page = Callable[[], Mapping[str, object]]
+Order = Callable[[Mapping[str, str]], Awaitable[tuple[int, str]]]  # a call with words; status and text of the answer
 
 
 class OpsFront:
     """Owns the second address; one call to a connection. A call's act says yes or no; a page is JSON."""
 
     def __init__(self, clock: Clock, counters: Counters, ready: Act, drain: Act, activate: Act,
-                 pages: Mapping[str, Page] | None = None) -> None:
-        self._pages = pages or {}
+                 pages: Mapping[str, Page] | None = None, orders: Mapping[str, Order] | None = None) -> None:
+        self._pages, self._orders = pages or {}, orders or {}
         self._calls: Mapping[tuple[str, str], Act] = {
             ("GET", "/v1/readyz"): ready,
             ("POST", "/v1/doorman/drain"): drain,
@@ -54,7 +55,11 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         act = self._calls.get((request.method, request.path))
         page = self._pages.get(request.path)
-        if page is not None and request.method == "GET":
+        order = self._orders.get(request.path)
+        if order is not None and request.method == "POST":
+            status, text = await order(dict(request.query))
+            log.info("operators called %s: %d %s", request.rel_url, status, text)
+        elif page is not None and request.method == "GET":
             status, text = 200, orjson.dumps(page()).decode()
         elif act is not None:
             yes = act()
--- /dev/null
+++ b/beechslip/regions/__init__.py
@@ -0,0 +1,1 @@
+"""Leaving a station's caches or a hub region as a fleet, and returning to it at a pace that its depots bear. Pure."""
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -14,19 +14,19 @@
 
 from beechslip.config import ConfigError
 from lab import report as reports
-from lab.planted import FAULTS
+from lab.planted import ALL
 from lab.scenario import read_scenario
 from lab.world import Result, run_scenario
 
 app = typer.Typer(help=__doc__, no_args_is_help=True, add_completion=False)
 console = Console()
 Out = Annotated[Path, typer.Option(help="Where results are written.")]
-Plant = Annotated[str, typer.Option(help=f"A planted fault: {', '.join(FAULTS)}.")]
+Plant = Annotated[str, typer.Option(help=f"A planted fault: {', '.join(ALL)}.")]
 
 
 def _known(plant: str) -> None:
-    if plant and plant not in FAULTS:
-        raise typer.BadParameter(f"no planted fault is called {plant!r}: {', '.join(FAULTS)}")
+    if plant and plant not in ALL:
+        raise typer.BadParameter(f"no planted fault is called {plant!r}: {', '.join(ALL)}")
 
 
 def _table(results: list[Result]) -> Table:
--- a/lab/planted.py
+++ b/lab/planted.py
@@ -8,6 +8,7 @@
 import contextlib
 import sys
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Any
 
 from beechslip.duties.node import DutyNode
@@ -15,6 +16,8 @@
 from beechslip.leases.fence import Fence
 from beechslip.leases.messages import Ballot, Kind, LeaseMessage
 from beechslip.leases.paxos import Acceptor, Proposer
+from lab.virtual_budgets import PLANTS as BUDGETS
+from lab.virtual_regions import PLANTS as REGIONS
 
 Patch = tuple[Any, str, Any]
 
@@ -112,6 +115,11 @@
     return [(DutyNode, "_alive", always), (DutyNode, "_sure", always), (DutyNode, "_overdue", overdue)]
 
 
+def _patch(planted: tuple[type, str, Callable[[Any], Any]]) -> list[Patch]:
+    owner, attribute, method = planted
+    return [(owner, attribute, method(owner.__dict__[attribute]))]
+
+
 FAULTS: dict[str, tuple[str, Callable[[], list[Patch]]]] = {
     "no-quiet": ("an acceptor answers at once after a restart", _no_quiet),
     "timer-at-answer": ("the holder's timer starts when a majority has accepted", _timer_at_answer),
@@ -124,11 +132,14 @@
     "low-tokens": ("rounds begin at 1 after every start", _low_tokens),
 }
 
+ALL = FAULTS | {name: (f"{where}: {name.replace('-', ' ')}", partial(_patch, plants[name]))
+                for where, plants in (("budgets", BUDGETS), ("regions", REGIONS)) for name in plants}
+
 
 @contextlib.contextmanager
 def plant(name: str) -> Iterator[None]:
     """Break the program as ``name`` says, until the block ends; "": leave it whole. KeyError if unknown."""
-    patches = FAULTS[name][1]() if name else []
+    patches = ALL[name][1]() if name else []
     before = [(owner, attribute, owner.__dict__[attribute]) for owner, attribute, _ in patches]
     for owner, attribute, value in patches:
         setattr(owner, attribute, value)
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -39,6 +39,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.stopped = False
         self.starts = 0
+        self.up = 0  # the last of its starts after which it has answered somebody
         self.codes: list[int | None] = []  # how it ended, each time
         folder.mkdir(parents=True, exist_ok=True)
 
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -17,10 +17,10 @@
 
 MOST_MEMBERS, MOST_S, MOST_REQUESTS = 20, 120.0, 20_000
 HEAD = ("name", "about", "seed", "members", "spare", "duration_s", "fleet", "load", "fault", "must", "disk",
-        "plants")
+        "plants", "zones", "depots")
 DO = ("kill", "term", "start", "restart", "stop", "go", "cut", "deaf", "mute", "heal", "weather", "declare", "depot",
-      "log")
-TABLES = ("leases", "census", "duties", "membership")
+      "log", "load", "cold", "zone", "oneway", "amounts", "purge", "say")
+TABLES = ("leases", "census", "duties", "membership", "budgets", "regions")
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +38,9 @@
     weather: Weather = field(default_factory=Weather)
     size: int = 0
     how: str = ""  # of a way to a depot or the change log: silence, reset, or bytes a second
+    weights: tuple[float, ...] = ()  # load: the members' parts of it from now on
+    depot: str = ""  # cold: which one; zone: a depot or a zone's; depot: of this zone alone; say: a region
+    amounts: Mapping[str, float] = field(default_factory=dict)  # of the table budgets, by SIGHUP
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +54,11 @@
     answered: bool = True  # every request of the load has exactly one final answer
     probe_gap_s: float = 0.0  # no depot goes unprobed for longer, from 3 s after the start; 0: not judged
     tokens: bool = True  # tokens rise from holder to holder
+    used: Mapping[str, float] = field(default_factory=dict)  # by sort of whole: the least share in use at once
+    away: int = 0  # least number of regions that were out at once
+    back: bool = False  # at the end all regions are wholly in, everywhere
+    said: tuple[str, ...] = ()  # how the answers to operators begin, in order
+    served: float = 0.0  # least share of the load that was answered with 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +76,11 @@
     must: Must
     disks: Mapping[int, str] = field(default_factory=dict)  # by member: log-full or file-limit
     plants: tuple[str, ...] = ()  # planted faults that this scenario is shown to find
+    zones: tuple[int, ...] = ()  # by member: its station; empty: all in the first
+    weights: tuple[float, ...] = ()  # by member: its part of the load; empty: even parts
+    work_ms: float = 0.0  # what a depot takes for a request; 0: it answers at once
+    deadline_s: float = 0.0  # of all classes; 0: as the settings have it
+    hubs: int = 0  # each in a zone of its own; 0: two in one zone
 
 
 def _share(table: Table, key: str) -> float:
@@ -83,7 +96,8 @@
 
 def _fault(where: str, values: Any, most: int) -> Fault:
     table = Table(where, values,
-                  ("at_s", "do", "who", "for_s", "each_s", "in_act", "sides", "weather", "size", "how"))
+                  ("at_s", "do", "who", "for_s", "each_s", "in_act", "sides", "weather", "size", "how",
+                   "weights", "depot", "amounts"))
     do = table.text("do")
     if do not in DO:
         raise table.fail("do", f"must be one of {', '.join(DO)}, not {do!r:.40}")
@@ -93,22 +107,41 @@
         named = one == "all" or one.startswith(("holder:", "others:"))
         if not named and not (one[:1] == "d" and number.isdigit() and int(number) < most):
             raise table.fail("who", f"names {one!r:.40}, no member of this scenario")
-    if not who and do not in ("cut", "heal", "weather"):
+    if not who and do not in ("cut", "heal", "weather", "load", "cold", "zone", "purge"):
         raise table.fail("who", f"is missing: {do} is done to somebody")
     sides = values.get("sides", [])
     if not isinstance(sides, list) or any(not isinstance(s, list) or any(
             not isinstance(n, int) or not 0 <= n < most for n in s) for s in sides):
         raise table.fail("sides", "must be lists of members' numbers")
-    if do == "cut" and not sides:
+    if do in ("cut", "oneway") and not sides:
         raise table.fail("sides", "is missing: a cut has sides")
+    if do in ("cold", "zone", "say") and not table.text("depot"):
+        raise table.fail("depot", f"is missing: {do} is done to one")
     how = table.text("how")
+    if do == "zone" and how not in ("", "fail", "slow", "dead", "cut"):
+        raise table.fail("how", "must be fail, slow, dead, cut, or empty")
     if do in ("depot", "log") and how not in ("silence", "reset") and not how.isdigit():
         raise table.fail("how", "must be silence, reset, or bytes a second")
     return Fault(table.number("at_s", 0.0, least=-1e-9, most=MOST_S), do, who,
                  table.number("for_s", 0.0, least=-1e-9, most=MOST_S),
                  table.number("each_s", 0.0, least=-1e-9, most=MOST_S), table.flag("in_act"),
                  tuple(tuple(s) for s in sides), _weather(f"{where}: weather", values.get("weather", {})),
-                 table.whole("size", 0, 0, most), how)
+                 table.whole("size", 0, 0, most), how, _numbers(table, "weights", values), table.text("depot"),
+                 _named(f"{where}: amounts", values.get("amounts", {})))
+
+
+def _numbers(table: Table, key: str, values: Mapping[str, Any]) -> tuple[float, ...]:
+    numbers = values.get(key, [])
+    if not isinstance(numbers, list) or any(
+            isinstance(n, bool) or not isinstance(n, (int, float)) or not 0 <= n < 1e6 for n in numbers):
+        raise table.fail(key, "must be a list of numbers from 0")
+    return tuple(float(n) for n in numbers)
+
+
+def _named(where: str, values: Any) -> Mapping[str, float]:
+    if not isinstance(values, Mapping) or any(not isinstance(v, (int, float)) for v in values.values()):
+        raise ConfigError(f"{where} must be a table of numbers")
+    return {str(k): float(v) for k, v in values.items()}
 
 
 def read_scenario(path: Path) -> Scenario:
@@ -127,12 +160,17 @@
     for name, part in tables.items():
         if not isinstance(part, Mapping):
             raise ConfigError(f"{path.name}: fleet: {name} must be a table")
-    load = Table(f"{path.name}: load", values.get("load", {}), ("rps", "requests"))
+    load = Table(f"{path.name}: load", values.get("load", {}), ("rps", "requests", "weights"))
+    depots = Table(f"{path.name}: depots", values.get("depots", {}), ("work_ms", "deadline_s", "hubs"))
+    zones = _numbers(table, "zones", values)
+    if zones and len(zones) != most:
+        raise table.fail("zones", f"names {len(zones)} members, there are {most}")
     faults = values.get("fault", [])
     if not isinstance(faults, list):
         raise table.fail("fault", "must be tables, [[fault]]")
     must = Table(f"{path.name}: must", values.get("must", {}),
-                 ("holds", "handovers", "turned_down", "census", "answered", "probe_gap_s", "tokens"))
+                 ("holds", "handovers", "turned_down", "census", "answered", "probe_gap_s", "tokens", "used",
+                  "served", "away", "back", "said"))
     disks: dict[int, str] = {}
     for n, one in enumerate(values.get("disk", [])):
         disk = Table(f"{path.name}: disk {n}", one, ("who", "how"))
@@ -147,8 +185,13 @@
                      key=lambda f: f.at_s)),
         Must(must.whole("holds", 1, 0, 1_000_000), must.whole("handovers", 0, 0, 1_000_000),
              must.whole("turned_down", 0, 0, 1_000_000), must.flag("census"), must.flag("answered", True),
-             must.number("probe_gap_s", 0.0, least=-1e-9, most=MOST_S), must.flag("tokens", True)),
-        disks, table.texts("plants"))
+             must.number("probe_gap_s", 0.0, least=-1e-9, most=MOST_S), must.flag("tokens", True),
+             _named(f"{path.name}: must: used", values.get("must", {}).get("used", {})),
+             must.whole("away", 0, 0, 100), must.flag("back"), must.texts("said"),
+             must.number("served", 0.0, least=-1e-9, most=1.0)),
+        disks, table.texts("plants"), tuple(int(z) for z in zones),
+        _numbers(load, "weights", values.get("load", {})), depots.number("work_ms", 0.0, least=-1e-9, most=5_000),
+        depots.number("deadline_s", 0.0, least=-1e-9, most=60.0), depots.whole("hubs", 0, 0, 8))
 
 
 def toml_value(value: Any) -> str:
--- a/lab/world.py
+++ b/lab/world.py
@@ -7,7 +7,8 @@
 import dataclasses
 import random
 import signal
-from collections.abc import Mapping
+import time
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -15,16 +16,23 @@
 import orjson
 from hdrh.histogram import HdrHistogram
 
+from aldershed.adapter import read_settings
+from beechslip.budgets.plan import Plan
+from beechslip.budgets.settings import AMOUNTS, BudgetsConfig
 from lab.check import LeaseChecker, Violation, check_leases, probe_gaps
+from lab.depots import BusyDepot
 from lab.processes import DoormanProcess, steady_ms
 from lab.relay import TcpRelay, UdpMesh, Weather
 from lab.scenario import Fault, Scenario, toml_value
+from lab.spending import check_spending
 from lab.stand import SETTINGS, StandDepot, StandLog, fetch, free_port, line, listening
+from lab.virtual_budgets import settled_ms
+from lab.virtual_regions import RegionChecker
 
 READY_S = 30.0
 IN_ACT_S = 3.0  # how long a fault waits for a holder to be in the middle of an act
 WAIT_MS = 2_000  # a request's own time; its answer is looked for a while longer
-NAMES = ("a", "b", "hub", "archive")
+TOLD_MS = 300.0  # by then every doorman has been told what the change log has
 
 
 @dataclass
@@ -44,6 +52,7 @@
     events: list[dict[str, Any]]
     began_ms: float
     ended_ms: float
+    used: dict[str, float] = dataclasses.field(default_factory=dict)  # by whole: the most in use, as a share of it
 
 
 class World:
@@ -53,32 +62,53 @@
         self.scenario, self.folder, self.plant = scenario, folder, plant
         self.size = scenario.members + scenario.spare
         self.rng = random.Random(scenario.seed)
-        self.depots = [StandDepot("a"), StandDepot("b"), StandDepot("hub", kind="parent", zone="north"),
-                       StandDepot("archive", kind="origin", zone="north")]
-        self.log = StandLog()
+        self.zones = scenario.zones or (0,) * self.size
+        self.depots = self._depots()
+        self.logs = [StandLog() for _ in range(self.size)]  # one a doorman, as each has its own way to a depot
+        self.told = 1  # the number of the change log's last news
+        self.weights = scenario.weights or (1.0,) * self.size
+        self.amounts: list[tuple[float, Mapping[str, float]]] = []  # when a file with these was told to all
         self.events: list[dict[str, Any]] = []  # the lab's own: faults, starts, ends
         self.ways: dict[tuple[int, str], TcpRelay] = {}  # by doorman and depot, or "log"
         self.doormans: list[DoormanProcess] = []
         self.answers: dict[str, int] = {}
         self.latency = HdrHistogram(1, 60_000_000, 3)  # microseconds
         self.taken = self.wrong = 0
+        self.region_counts: dict[str, int] = {}
+        self.said: list[str] = []  # answers to operators
         self.ended = 0.0
         self._stack = contextlib.AsyncExitStack()
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def _depots(self) -> list[StandDepot]:
+        if not self.scenario.work_ms:
+            return [StandDepot("a"), StandDepot("b"), StandDepot("hub", kind="parent", zone="north"),
+                    StandDepot("archive", kind="origin", zone="north")]
+        idle_s = self._settings(0)["caps"]["idleClose"]
+        hubs = self.scenario.hubs
+        boxes = [(f"hub{k + 1}" if k else "hub", "parent", f"hub-{k + 1}" if hubs else "north")
+                 for k in range(hubs or 2)]
+        boxes.append(("archive", "origin", "north"))
+        for station in range(max(self.zones) + 1):
+            boxes += [(chr(ord("a") + 2 * station + k), "std-box", f"edge-{station + 1}") for k in (0, 1)]
+        depots = [BusyDepot(name, kind, zone, self.scenario.work_ms, idle_s) for name, kind, zone in boxes]
+        for depot in depots:
+            depot.sources = {d.name: d for d in depots if d.kind != "std-box"}
+        return list(depots)
+
     # Setting up ------------------------------------------------------------------------------------------
 
     async def open(self) -> None:
         self.folder.mkdir(parents=True, exist_ok=True)
         await self._stack.enter_async_context(listening(*self.depots))
-        log_server = await asyncio.start_server(self.log.serve, "127.0.0.1", 0)
-        self._stack.callback(log_server.close)
-        log_port = log_server.sockets[0].getsockname()[1]
         ports = [free_port() for _ in range(3 * self.size)]
         self.mesh = UdpMesh(ports[:self.size], random.Random(self.rng.random()))
         self._stack.callback(self.mesh.close)
         await self.mesh.start()
         for n in range(self.size):
+            log_server = await asyncio.start_server(self.logs[n].serve, "127.0.0.1", 0)
+            self._stack.callback(log_server.close)
+            log_port = log_server.sockets[0].getsockname()[1]
             for name, target in [("log", log_port), *((d.name, int(d.address.split(":")[1])) for d in self.depots)]:
                 relay = self.ways[n, name] = TcpRelay(target)
                 self._stack.push_async_callback(relay.close)
@@ -94,10 +124,25 @@
             await doorman.start()
         await asyncio.gather(*(self._ready(d) for d in self.doormans[:self.scenario.members]))
 
-    def _config(self, n: int, port: int) -> dict[str, Any]:
+    def _settings(self, n: int) -> dict[str, Any]:
         settings = copy.deepcopy(SETTINGS)
         settings["me"], settings["balancers"] = n, self.size
-        settings["specifics"]["instancesByZone"] = [0, self.size]
+        facts = settings["specifics"]
+        facts["instancesByZone"] = [0, self.size]
+        if max(self.zones):
+            stations = range(max(self.zones) + 1)
+            settings["dcs"] = ["north", *(f"edge-{k + 1}" for k in stations)]
+            settings["myZone"] = f"edge-{self.zones[n] + 1}"
+            facts["instancesByZone"] = [0, *(self.zones.count(k) for k in stations)]
+            facts["attachedTo"] = [0] * (len(stations) + 1)
+        if self.scenario.deadline_s:
+            for rule in settings["classes"]:
+                rule["giveUp"] = self.scenario.deadline_s
+            settings["safety"]["fall"], settings["caps"]["idleClose"] = 1.0, 1.0
+        return settings
+
+    def _config(self, n: int, port: int) -> dict[str, Any]:
+        settings = self._settings(n)
         boxes = [line(d) | {"address": f"127.0.0.1:{self.ways[n, d.name].port}"} for d in self.depots]
         return {"name": f"d{n}", "listen": f"127.0.0.1:{port}", "seed": f"{self.rng.getrandbits(64):016x}",
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -112,6 +157,8 @@
         lines = ["enabled = true", 'name = "lab"', "tick_ms = 20",
                  f'history = "{self.folder / f"d{n}" / "history.jsonl"}"']
         tables = {name: dict(table) for name, table in self.scenario.tables.items()}
+        for _, amounts in self.amounts:
+            tables["budgets"].update(amounts)
         if "leases" in tables:
             tables["leases"]["members"] = declared
             if declared != self.scenario.members:
@@ -127,6 +174,7 @@
                 break
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 if (await fetch(port, "/health"))[0] == 200:
+                    doorman.up = doorman.starts
                     return
             await asyncio.sleep(0.05)
         raise RuntimeError(f"{doorman.name} did not come up; see {doorman.folder / 'log.txt'}")
@@ -168,8 +216,14 @@
         self.events.append({"t": steady_ms(), "member": who, "life": 0, "kind": "fault", "what": what})
 
     async def _load(self) -> None:
+        """Requests go round the members by their weights (smooth weighted round robin)."""
+        credit = [0.0] * self.size
         for k in range(self.scenario.requests):
-            doorman = self.doormans[k % self.scenario.members]
+            weights = self.weights[:self.size]
+            credit = [c + w for c, w in zip(credit, weights, strict=True)]
+            chosen = max(range(self.size), key=lambda n: credit[n])
+            credit[chosen] -= sum(weights)
+            doorman = self.doormans[chosen]
             if doorman.alive and not doorman.stopped:
                 self._spawn(self._ask(doorman, k))
             await asyncio.sleep(1.0 / self.scenario.rps)
@@ -182,11 +236,11 @@
             status, _, _ = await asyncio.wait_for(
                 fetch(int(doorman.config["listen"].split(":")[1]), f"/rpc/waveform/{k % 97:x}?slice=0",
                       wait_ms=WAIT_MS), WAIT_MS / 1000 + 3)
-            what = str(status)
+            what, doorman.up = str(status), starts
             self.latency.record_value(max(1, int((steady_ms() - began) * 1000)))
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
-            ran = doorman.alive and not doorman.stopped and doorman.starts == starts and not self._touched(
-                doorman, began)
+            ran = doorman.alive and not doorman.stopped and doorman.starts == starts == doorman.up and not (
+                self._touched(doorman, began))
             what = "none" if ran else "cut off"
             self.wrong += ran
         self.answers[what] = self.answers.get(what, 0) + 1
@@ -229,6 +283,10 @@
         if fault.do in ("cut", "heal", "weather"):
             self._mesh(fault)
             return
+        if fault.do in ("load", "cold", "zone", "purge"):
+            self._note("all", fault.do)
+            self._outside(fault)
+            return
         for doorman in await self._whom(fault):
             self._note(doorman.name, fault.do)
             await self._one(doorman, fault)
@@ -250,6 +308,36 @@
         if fault.for_s:
             self._spawn(self._later(fault.for_s, dataclasses.replace(fault, do="heal", for_s=0.0)))
 
+    def _outside(self, fault: Fault) -> None:
+        """What is done to the load, or to a depot."""
+        if fault.do == "load":
+            self.weights = fault.weights
+            return
+        if fault.do == "zone":
+            for one in self.depots:
+                if isinstance(one, BusyDepot) and fault.depot in (one.name, one.zone):
+                    one.set(fault.how)
+            if fault.for_s:
+                self._spawn(self._later(fault.for_s, dataclasses.replace(fault, for_s=0.0, how="")))
+            return
+        if fault.do == "purge":
+            self._tell(lambda n: {"invalidate": {"bucket": fault.size, "time": int(time.time() * 1000.0)}})
+            return
+        depot = next(d for d in self.depots if d.name == fault.depot)
+        assert isinstance(depot, BusyDepot)
+        depot.started_ms = time.time() * 1000.0
+        self._tell(lambda n: {"fleet": {"index": self.told, "snapshot": False, "endpoints": [
+            line(depot) | {"address": f"127.0.0.1:{self.ways[n, depot.name].port}", "since_ms": depot.started_ms}]}})
+
+    def _tell(self, news: Callable[[int], dict[str, Any]]) -> None:
+        """The change log's news to every doorman, and to those that start again."""
+        self.told += 1
+        for n, doorman in enumerate(self.doormans):
+            self.logs[n].tell(self.told, **news(n))
+            known = doorman.config["known"]
+            known["seq"] = self.told
+            known["results"].append({"seq": self.told, **news(n)})
+
     async def _later(self, seconds: float, fault: Fault) -> None:
         await asyncio.sleep(seconds)
         await self._do(fault)
@@ -269,14 +357,18 @@
         elif fault.do in ("deaf", "mute"):
             others = [i for i in range(self.size) if i != n]
             self.mesh.cut |= {(i, n) if fault.do == "deaf" else (n, i) for i in others}
-        elif fault.do == "declare":
-            doorman.fleet_toml = self._fleet(n, fault.size)
+        elif fault.do == "oneway":
+            self.mesh.cut |= {(n, other) for side in fault.sides for other in side if other != n}
+        elif fault.do in ("declare", "amounts"):
+            if fault.do == "amounts":
+                self.amounts = [(steady_ms(), fault.amounts)]
+            doorman.fleet_toml = self._fleet(n, fault.size or self.scenario.members)
             doorman.write()
             doorman.send(signal.SIGHUP)
         elif fault.do in ("depot", "log"):
-            for (number, name), way in self.ways.items():
-                if number == n and (name == "log") == (fault.do == "log"):
-                    way.set(fault.how)
+            self._ways(n, fault, fault.how)
+        elif fault.do == "say":
+            self._spawn(self._say(doorman, fault))
 
     async def _undo(self, doorman: DoormanProcess, fault: Fault) -> None:
         await asyncio.sleep(fault.for_s)
@@ -286,12 +378,31 @@
             await doorman.start()
         elif fault.do == "stop":
             doorman.send(signal.SIGCONT)
+        elif fault.do == "oneway":
+            self.mesh.cut = {pair for pair in self.mesh.cut if pair[0] != n}
         elif fault.do in ("deaf", "mute"):
             self.mesh.cut = {(i, j) for i, j in self.mesh.cut if n != (j if fault.do == "deaf" else i)}
         elif fault.do in ("depot", "log"):
-            for (number, _), way in self.ways.items():
-                if number == n:
-                    way.set("")
+            self._ways(n, fault, "")
+
+    def _ways(self, n: int, fault: Fault, how: str) -> None:
+        """This doorman's ways to the depots (of one zone, if it is named) or to the change log."""
+        zones = {d.name: d.zone for d in self.depots}
+        for (number, name), way in self.ways.items():
+            if number == n and (name == "log") == (fault.do == "log") and \
+                    fault.depot in ("", name, zones.get(name, "")):
+                way.set(how)
+
+    async def _say(self, doorman: DoormanProcess, fault: Fault) -> None:
+        """An operator's word on a region, through one doorman; its answer goes into the lab's events."""
+        number = self.rng.getrandbits(40) + 1
+        target = f"/regions?region={fault.depot}&word={fault.how}&who={fault.size}&number={number}"
+        said = "no answer"
+        with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+            status, _, text = await asyncio.wait_for(fetch(doorman.ops_port, target, "POST"), 5)
+            said = f"{status} {text.decode(errors='replace')}"
+        self.said.append(said)
+        self._note(doorman.name, f"said {fault.how} {fault.depot}: {said}")
 
     # The verdict -----------------------------------------------------------------------------------------
 
@@ -325,6 +436,25 @@
                                  ("acts turned down", must.turned_down, counts.get("turned_down", 0))):
             if got < least:
                 failed.append(f"{what}: {got}, fewer than {least}")
+        spent, used = self._spending()
+        spent += self._regions(events)
+        violations = [*violations, *spent]
+        failed += [f"{v.rule}: {v.text}" for v in spent]
+        for kind, wanted in must.used.items():
+            share = max((u for name, u in used.items() if name.split(":")[0] == kind), default=0.0)
+            if share < wanted:
+                failed.append(f"used: {kind} {share:.2f} of the whole, less than {wanted:g}")
+        if self.answers.get("200", 0) < must.served * max(1, self.taken):
+            failed.append(f"served: {self.answers.get('200', 0)} of {self.taken}, less than {must.served:g}")
+        if self.region_counts.get("away", 0) < must.away:
+            failed.append(f"away: {self.region_counts}, fewer than {must.away}")
+        if must.back:
+            last = {e["member"]: e["away"] for e in events if e["kind"] == "changeover"}
+            still = {m: away for m, away in last.items() if away}
+            if still:
+                failed.append(f"back: at the end still away: {still}")
+        if [said[:len(wanted)] for said, wanted in zip(self.said, must.said, strict=False)] != list(must.said):
+            failed.append(f"said: {self.said}, not {list(must.said)}")
         if must.probe_gap_s:
             gaps = probe_gaps(events, began + 3_000, self.ended)
             missing = [d.name for d in self.depots if d.name not in gaps]
@@ -352,7 +482,47 @@
                       counts, dict(sorted(self.answers.items())), percentiles,
                       {"passed": self.mesh.passed, "bytes": self.mesh.bytes, "lost": self.mesh.lost},
                       {d.name: d.codes for d in self.doormans if d.starts}, counters,
-                      sorted([*events, *self.events], key=lambda e: e["t"]), began, steady_ms())
+                      sorted([*events, *self.events], key=lambda e: e["t"]), began, steady_ms(), used)
+
+    def _regions(self, events: list[dict[str, Any]]) -> list[Violation]:
+        """What the histories tell of orders and change-overs, where regions are on; and how many there were."""
+        table = self.scenario.tables.get("regions", {})
+        if not table.get("enabled"):
+            return []
+        plan = Plan(BudgetsConfig(1, 1, 1, 1, 0, {}), read_settings(self._settings(0)))
+        sizes: dict[str, int] = {}
+        for depot in self.depots:
+            role = plan.role(depot.entry())
+            if role != "origin":
+                sizes[f"{role}:{depot.zone}"] = sizes.get(f"{role}:{depot.zone}", 0) + 1
+        checker = RegionChecker(self.scenario.members, sizes, float(table.get("most_out", 0.5)))
+        checker.play(sorted(events, key=lambda e: e["t"]))
+        self.region_counts = {"orders": checker.orders, "changeovers": checker.changeovers,
+                              "away": checker.most_away}
+        return checker.violations
+
+    def _spending(self) -> tuple[list[Violation], dict[str, float]]:
+        """What the depots met of each whole, where budgets are on."""
+        table = self.scenario.tables.get("budgets", {})
+        depots = [d for d in self.depots if isinstance(d, BusyDepot)]
+        if not table or not depots:
+            return [], {}
+        amounts = {key: float(table.get(key, 0.0)) for key in AMOUNTS}
+        config = BudgetsConfig(float(table.get("grant_ms", 2000)), float(table.get("floor_share", 0.25)),
+                               float(table.get("travel_ms", 100)), float(table.get("mean_ms", 100)), 0.01, amounts)
+        day_ms = time.time() * 1000.0 - steady_ms()
+        plan = Plan(config, read_settings(self._settings(0)))
+        plan.follow(d.entry(started_ms=d.started_ms) for d in depots)
+        bounds: dict[str, list[tuple[float, float]]] = {}
+        for told, new in self.amounts:
+            after = Plan(dataclasses.replace(config, amounts=amounts | dict(new)), plan.settings)
+            after.follow(plan.depots.values())
+            for whole in after.wholes(day_ms):
+                before = next((w for w in plan.wholes(day_ms) if w.name == whole.name), whole)
+                wait = settled_ms(before) + TOLD_MS if whole.amount < before.amount else -1.0
+                bounds[whole.name] = [(told + wait, whole.amount)]
+        found, used = check_spending(depots, plan, day_ms, bounds, TOLD_MS)
+        return (found if table.get("enabled") else []), used
 
 
 async def run_scenario(scenario: Scenario, folder: Path, plant: str = "") -> Result:
--- /dev/null
+++ b/tests/test_budgets_wire.py
@@ -0,0 +1,147 @@
+"""Budgets where a doorman spends: attempts, connections, probes and DNS hand-outs, before stand-in depots."""
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from beechslip.budgets.node import BudgetNode
+from beechslip.budgets.part import BudgetPart, BudgetProber
+from beechslip.budgets.plan import Plan
+from beechslip.budgets.settings import AMOUNTS, BudgetsConfig
+from beechslip.core.model import Depot, Ended, Listing
+from beechslip.fleet.membership import Message
+from lab.stand import HANG, OK, Stand, StandDepot, run, until
+from tests.test_budgets import Lease
+from tests.test_dns import ZONE, DnsStand, box, own
+from tests.test_rules import Plan as Always
+
+
+def part_for(stand: Any, told: bool = True, **amounts: float) -> BudgetPart:
+    """A doorman alone, long after its start, whose floors are the wholes; it is the engine's spender. ``told``: the
+    module hears of its shares; else the guard alone holds."""
+    now = stand.clock.steady_ms()
+    node = BudgetNode("d0", Lease("d0"), 1, now - 1e6, 1, here=1)
+    plan = Plan(BudgetsConfig(2000.0, 1.0, 0.0, 100.0, 0.01, dict.fromkeys(AMOUNTS, 0.0) | amounts), stand.settings)
+    part = BudgetPart(node, plan, stand.clock, stand.counters,
+                      stand.engine.post if told else lambda message: None)
+    part.follow(stand.engine._depots.values())
+    part.tick(now - 1e5)
+    for share in node.shares.values():
+        share._lent.clear()
+    stand.engine._spender = part
+    return part
+
+
+def depots(*script: bytes) -> tuple[StandDepot, ...]:
+    return (StandDepot("a", *script), StandDepot("b", *script), StandDepot("hub", kind="parent", zone="north"),
+            StandDepot("archive", kind="origin", zone="north"))
+
+
+@run
+async def test_attempts_through_a_hub_are_bounded_whatever_the_module_says() -> None:
+    async with Stand(*depots(HANG)) as stand:
+        part = part_for(stand, told=False, hub_fills=2.0, origin_fills=1.0)
+        asks = [stand.ask(target=f"/rpc/waveform/{n:x}?slice=0") for n in range(12)]
+
+        def sources() -> list[str]:
+            return [fields.get("X-Next-Hop", "") for d in stand.depots[:2] for _, fields, _ in d.seen]
+        await until(lambda: len(sources()) + stand.counters["attempt.moot"] >= 12)
+        assert sources().count("hub") <= 2 and sources().count("archive") <= 1
+        assert part.node.counts["refused.fills"] >= 1 and part.node.shares["fills:hub"].in_use(0.0) == 2
+        for ask in asks:
+            ask.cancel()
+        await asyncio.gather(*asks, return_exceptions=True)
+        stand.clock.advance(7_000)
+        await until(lambda: not part._out)
+        assert part.node.shares["fills:hub"].in_use(stand.clock.steady_ms()) == 0  # all has come back
+
+
+@run
+async def test_the_module_is_told_its_shares_and_then_asks_for_no_more() -> None:
+    async with Stand(*depots(HANG)) as stand:
+        part = part_for(stand, hub_fills=1.0, retries_per_s=5.0, retry_burst=5.0)
+        part.tick(stand.clock.steady_ms())
+        await until(lambda: stand.module.told.fills)
+        assert stand.module.told.fills == {"hub": 1.0} and stand.module.told.retries == 5
+        asks = [stand.ask(target=f"/rpc/waveform/{n:x}?slice=0") for n in range(6)]
+        await until(lambda: sum(len(d.seen) for d in stand.depots[:2]) >= 6)
+        assert part.node.counts.get("refused.fills", 0) == 0  # the module kept within its share by itself
+        for ask in asks:
+            ask.cancel()
+        await asyncio.gather(*asks, return_exceptions=True)
+
+
+@run
+async def test_connections_to_a_depot_are_bounded_and_given_back() -> None:
+    async with Stand(*depots(HANG)) as stand:
+        part = part_for(stand, cache_links=2.0)
+        part.trim = stand.client.bound(part)
+        asks = [stand.ask(target=f"/rpc/waveform/{n:x}?slice=0") for n in range(10)]
+        await until(lambda: stand.counters["depot.waits"] >= 6 and sum(d.connections for d in stand.depots[:2]) >= 4)
+        assert [d.connections for d in stand.depots[:2]] == [2, 2]
+        for ask in asks:
+            ask.cancel()
+        await asyncio.gather(*asks, return_exceptions=True)
+        stand.clock.advance(7_000)
+        await until(lambda: all(part.node.shares[f"links:{n}"].in_use(0.0) == 0 for n in "ab"))
+
+
+@run
+async def test_idle_connections_beyond_a_share_that_shrinks_are_ended() -> None:
+    async with Stand(*depots(OK)) as stand:
+        part = part_for(stand, cache_links=4.0)
+        part.trim = stand.client.bound(part)
+        await asyncio.gather(*(stand.ask(target=f"/rpc/waveform/{n:x}?slice=0") for n in range(8)))
+        before = {d.name: d.connections for d in stand.depots[:2]}
+        assert max(before.values()) >= 2
+        for name in "ab":
+            part.trim(name, 1.0)
+        await until(lambda: all(d.closed >= d.connections - 1 for d in stand.depots[:2]))
+
+
+@run
+async def test_a_probe_waits_for_its_token() -> None:
+    class Inner:
+        began = 0
+
+        async def probe(self, depot: Depot, may_start: Any) -> Ended:
+            if not may_start():
+                return Ended("moot")
+            self.began += 1
+            return Ended("ok")
+
+        def follow(self, depots: Any) -> None:
+            pass
+    async with Stand(*depots()) as stand:
+        part = part_for(stand, probes_per_s=1.0, probe_burst=1.0)
+        inner = Inner()
+        prober = BudgetProber(inner, part)
+        prober.follow(stand.engine._depots.values())
+        assert (await prober.probe(Depot("a", "x"))).result == "ok"
+        second = asyncio.create_task(prober.probe(Depot("a", "x")))
+        await asyncio.sleep(0.12)
+        assert inner.began == 1 and not second.done()
+        stand.clock.advance(1_100)
+        assert (await second).result == "ok" and inner.began == 2
+
+
+@run
+async def test_a_hand_out_by_dns_is_an_attempt_like_any_other() -> None:
+    async with DnsStand(module=Always("s-0")) as stand:
+        # 0.3 transfers x 3 s x half of 2.5 x 0.18 warm: room for two requests of 100 ms within 3 s.
+        stand.engine.step(Listing("changes", (box(0, started_ms=stand.clock.now_ms()),)))
+        part_for(stand, cache_bears=0.3)
+        names = own(0)[:4]
+        answers = [await stand.ask(f"{name}.waveform.{ZONE}", "A") for name in names]
+        assert [bool(a.answer) for a in answers] == [True, True, False, False]
+        stand.clock.advance(3_100)
+        assert (await stand.ask(f"{names[2]}.waveform.{ZONE}", "A")).answer
+
+
+@run
+async def test_what_can_not_be_read_is_counted_and_costs_nothing() -> None:
+    async with Stand(*depots()) as stand:
+        part = part_for(stand, hub_fills=4.0)
+        assert part.receive(0.0, Message("budget", "d1", 0, body=b"odd")) == []
+        assert stand.counters["budget.bad"] == 1 and part.state()["keeping"] is False
+        assert part.stop(0.0) == []
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -21,13 +21,15 @@
 from lab.relay import TcpRelay, UdpMesh, Weather
 from lab.scenario import read_scenario
 from lab.stand import free_port, run, until
+from lab.virtual_budgets import PLANTS
 from lab.world import Result, run_scenario
 
 FILES = sorted((ROOT / "lab" / "scenarios").glob("*.toml"))
 CASES = [(f, plant) for f in FILES for plant in ("", *read_scenario(f).plants)]
 AT_ONCE = 3  # scenarios side by side; each has five to twenty processes
 # The rule that finds a planted fault; two-holders for the others.
-FOUND = {"no-fence": "stale-act", "no-guard": "act-unheld", "no-takeover": "unprobed"}
+FOUND = {"no-fence": "stale-act", "no-guard": "act-unheld", "no-takeover": "unprobed",
+         **dict.fromkeys(PLANTS, "over-"), "no-region-guard": "over-guard"}
 
 
 @pytest.fixture(scope="session")
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -13,7 +13,6 @@
 from aldershed.adapter import read_settings
 from beechslip.clock import ManualClock
 from beechslip.config import Address, Config, ConfigError
-from beechslip.core.model import Prober
 from beechslip.counters import Counters
 from beechslip.fleet.codec import MOST_BYTES, CodecError, encode
 from beechslip.fleet.membership import Message
@@ -37,6 +36,7 @@
 from beechslip.leases.paxos import Acceptor, LeaseTuning, Proposer, adjoin, majority
 from beechslip.leases.tasks import TaskRunner
 from beechslip.peering import build
+from beechslip.platform.depots import DepotClient
 from lab.check import check_leases
 from lab.planted import FAULTS, plant
 from lab.search import Bounds, Search
@@ -262,20 +262,21 @@
 def test_a_reload_moves_to_another_set_by_both_and_refuses_what_binds_from_a_start(tmp_path: Path) -> None:
     lease = "[leases]\nenabled = true\ndrills = ['x']\n"
     clock, config = ManualClock(), Config("n", Address("127.0.0.1", 9), 0, read_settings(SETTINGS))
-    peering = build(_fleet(tmp_path, lease + "members = 3\n"), config, cast(Prober, None), clock, Counters(), print)
+    nobody = cast(DepotClient, None)
+    peering = build(_fleet(tmp_path, lease + "members = 3\n"), config, nobody, clock, Counters(), print)
     assert peering.leases is not None
     node = peering.leases.node
     for text, named in ((lease + "longest_ms = 9000\n", "longest_ms"), (lease + "drift = 0.1\n", "drift")):
         with pytest.raises(ConfigError, match=named):
-            peering.reload(_fleet(tmp_path, text))
+            peering.reload(_fleet(tmp_path, text), config.settings)
     with pytest.raises(ConfigError, match="number"):
-        peering.reload(dataclasses.replace(_fleet(tmp_path, lease), number=1))
+        peering.reload(dataclasses.replace(_fleet(tmp_path, lease), number=1), config.settings)
     assert node.proposers["x"].sets == node.acceptors["x"].sets == (3,)
-    peering.reload(_fleet(tmp_path, lease + "members = 4\n"))
+    peering.reload(_fleet(tmp_path, lease + "members = 4\n"), config.settings)
     assert node.proposers["x"].sets == node.acceptors["x"].sets == (3, 4)
     for members in (2, 1):
-        peering.reload(_fleet(tmp_path, lease + f"members = {members}\n"))
+        peering.reload(_fleet(tmp_path, lease + f"members = {members}\n"), config.settings)
     with pytest.raises(ConfigError, match="under way"):
-        peering.reload(_fleet(tmp_path, lease + "members = 3\n"))
+        peering.reload(_fleet(tmp_path, lease + "members = 3\n"), config.settings)
     page = peering.leases.state()
     assert page["member"] == "d0" and page["leases"]["x"]["sets"] == [3, 4, 2, 1]  # type: ignore[index]
