Regions: load and cold allowances hold a step; a checker of fills that meet twice

Need: a step back is to be held by what the depots bear (links, their cold allowance), and an object's fills must meet at one parent while nothing changes. Evidence carries the larger of util, x1 and a used-up share of a cold allowance; the lab compares the sources that caches were asked to fill from, by object. Planted: each doorman ranks parents by itself (met twice), the share that may be out taken for all (over the guard). Ruled out: planting may_leave alone on processes, as the steward takes back at once what breaks the guard (found in virtual time only).

--- a/beechslip/budgets/part.py
+++ b/beechslip/budgets/part.py
@@ -122,6 +122,13 @@
             self._told = told
             self._post(told)
 
+    def cold_full(self, depot: str) -> bool:
+        """Whether ``depot`` warms and this doorman's share of its allowance has no room for one more."""
+        now = self._clock.now_ms()
+        costs = [(name, cost) for name, cost in self.plan.costs_of(depot, now) if name.startswith("cold:")]
+        return any(name in self.node.shares and self.node.left(self._clock.steady_ms(), name) < cost
+                   for name, cost in costs)
+
     # Where it spends ---------------------------------------------------------------------------------------
 
     def _spend(self, costs: list[tuple[str, float]]) -> bool:
--- a/beechslip/peering.py
+++ b/beechslip/peering.py
@@ -193,6 +193,8 @@
             place = regions_node.RegionNode(me, lease_part.node, life, clock.steady_ms(), _members(leases),
                                             regions.tuning, regions.timing, history.note)
             region_part = RegionPart(place, config.settings, clock, counters, post)
+            if budget_part is not None:
+                region_part.cold_full = budget_part.cold_full
             prober = ListedProber(prober, region_part)
             parts.append(region_part)
     if duties is not None:
--- a/beechslip/regions/evidence.py
+++ b/beechslip/regions/evidence.py
@@ -21,6 +21,7 @@
 BAD, GOOD = math.log(P1 / P0), math.log((1.0 - P0) / (1.0 - P1))
 MOST_SCORE = 25.0
 LATE, LEAST_MS = 4.0, 150.0  # an answer is late after so many times the usual time, and never within LEAST_MS
+BUSY_LEARN = 0.2  # weight of one more word on the load
 LEARN = 0.05  # weight of one more timely answer in the usual time
 MOST_REGIONS = 32
 BROKEN = frozenset({"connect_failed", "reset"})  # the depot's own
@@ -76,7 +77,13 @@
             sums = self._sums[name]
             sums.tried = sums.bad = sums.score = sums.mute = 0.0
 
-    def answered(self, now_ms: float, region: str, elapsed_ms: float, busy: float = -1.0) -> None:
+    def loaded(self, now_ms: float, region: str, share: float) -> None:
+        """How full its depots say their links are, or a cold one's allowance is (1: full)."""
+        sums = self._of(now_ms, region)
+        if sums is not None:
+            sums.busy += (min(share, 1.0) - sums.busy) * BUSY_LEARN
+
+    def answered(self, now_ms: float, region: str, elapsed_ms: float) -> None:
         sums = self._of(now_ms, region)
         if sums is None:
             return
@@ -84,8 +91,6 @@
         sums.count(late)
         if not late:
             sums.usual_ms += (elapsed_ms - sums.usual_ms) * (LEARN if sums.usual_ms else 1.0)
-        if busy >= 0:
-            sums.busy += (min(busy, 1.0) - sums.busy) * 0.2
 
     def failed(self, now_ms: float, region: str, mute: bool = True) -> None:
         """``mute``: without any answer."""
--- a/beechslip/regions/part.py
+++ b/beechslip/regions/part.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Iterable, Mapping
 
 from aldershed import interface as i
@@ -15,12 +16,15 @@
 from beechslip.regions.messages import Said, Word, decode_region, encode_region
 from beechslip.regions.node import Out, RegionNode
 
+log = logging.getLogger("beechslip.regions")
+
 ANSWER_MS, LOOK_MS = 2000.0, 20.0  # an operator waits so long for the steward's answer, looked for so often
 WORDS = {"out": Word.OUT, "return": Word.RETURN, "hold": Word.HOLD, "free": Word.FREE}
 SAID = {Said.DONE: (200, "done"), Said.REFUSED_GUARD: (409, "refused: more would be out than may be"),
         Said.REFUSED_OTHER: (409, "refused: another operator's word stands; only the same one frees the region"),
         Said.NOT_STEWARD: (503, "no steward yet: ask again"), Said.UNKNOWN: (404, "no such region"),
         Said.BUSY: (503, "the last order is still on its way: ask again")}
+LINK_FULL = 4.0  # fills on a station's link over those it carries at full pace, as the module has it
 FILLED = frozenset({"filled", "joined"})
 
 
@@ -38,11 +42,15 @@
         self._seen: dict[str, int] = {}
         self._purge_ms = -1e18  # when the last purge was heard of
         self._away: set[str] = set()
+        self.cold_full: Callable[[str], bool] = lambda depot: False  # whether a cold depot's share is used up here
         self._missed: dict[str, float] = {}  # by region back from out: the last purge that it may have missed
 
     # A part behind the socket ------------------------------------------------------------------------------
 
     def tick(self, now_ms: float) -> list[Send]:
+        for name, depot in self._depots.items():
+            if self.cold_full(name) and (region := self.region(depot)):
+                self.node.evidence.loaded(now_ms, region, 1.0)  # it bears no more now: a step back waits for it
         sends = self._sends(self.node.tick(now_ms))
         self._tell(now_ms)
         return sends
@@ -101,6 +109,9 @@
         shares = {depot.name: table[name].share for depot in self._depots.values()
                   if (name := self.region(depot)) in table and table[name].share < 1.0}
         if shares != self._told:
+            log.info("regions: order %d.%d, away %s", self.node.token, self.node.epoch,
+                     " ".join(f"{n}={p.state.name.lower()}/{p.share:g}" for n, p in sorted(table.items())
+                              if p.share < 1.0) or "none")
             self._told = shares
             self._post(i.Regions(shares))
         for what, count in self.node.counts.items():
@@ -136,7 +147,10 @@
             if order.source and depot:
                 evidence.filled(now, depot, source)
             if name:
-                evidence.answered(now, name, elapsed_ms, ended.report.get("busy", -1.0) if not filled else -1.0)
+                evidence.answered(now, name, elapsed_ms)
+            if depot and ended.report:
+                full = max(ended.report.get("busy", 0.0), ended.report.get("link", 0.0) / LINK_FULL)
+                evidence.loaded(now, depot, full)
 
     # Operators ---------------------------------------------------------------------------------------------
 
--- a/lab/planted.py
+++ b/lab/planted.py
@@ -6,11 +6,13 @@
 from __future__ import annotations
 
 import contextlib
+import secrets
 import sys
 from collections.abc import Callable, Iterator
 from functools import partial
 from typing import Any
 
+from aldershed.logic import Router, Store
 from beechslip.duties.node import DutyNode
 from beechslip.leases import node
 from beechslip.leases.fence import Fence
@@ -132,8 +134,18 @@
     "low-tokens": ("rounds begin at 1 after every start", _low_tokens),
 }
 
-ALL = FAULTS | {name: (f"{where}: {name.replace('-', ' ')}", partial(_patch, plants[name]))
-                for where, plants in (("budgets", BUDGETS), ("regions", REGIONS)) for name in plants}
+def _own_hash() -> list[Patch]:
+    """Each doorman ranks parents by an order of its own, so that an object's fills meet at several."""
+    def ranked(self: Router, stores: list[Store], key: int) -> list[Store]:
+        salt = self.__dict__.setdefault("own_salt", secrets.randbits(60))
+        return original(self, stores, key ^ salt if stores is self.parents else key)
+    original = Router.ranked
+    return [(Router, "ranked", ranked)]
+
+
+ALL = FAULTS | {"own-hash": ("parents are hashed by each doorman alone", _own_hash)} | {
+    name: (f"{where}: {name.replace('-', ' ')}", partial(_patch, plants[name]))
+    for where, plants in (("budgets", BUDGETS), ("regions", REGIONS)) for name in plants}
 
 
 @contextlib.contextmanager
--- a/lab/virtual_regions.py
+++ b/lab/virtual_regions.py
@@ -119,6 +119,7 @@
                  tuning: Tuning = TUNING, timing: Timing = TIMING) -> None:
         drawn = schedule(seed)
         drawn.faults = [f for f in drawn.faults if f[1] != "declare"]
+        drawn_plan = plan is None
         plan = plan or dataclasses.replace(drawn, names=(LEASE,), drill_every_ms=1e12, wire=False)
         self.seed, self.tuning, self.timing = seed, tuning, timing
         self.nodes: dict[str, RegionNode] = {}
@@ -136,11 +137,15 @@
             troubles = list(self._troubles(rng))
         for at, region, health in troubles:
             self._at(at, partial(self.health.__setitem__, region, health))
-        if seed % 4 == 1:
+        if seed % 4 == 1 and drawn_plan:
             for _ in range(3):
                 self._at(rng.uniform(2_000, 10_000), partial(self._word, rng.choice(list(SIZES)),
                                                              rng.choice(list(Word)), rng.randrange(2)))
 
+    @staticmethod
+    def all_regions() -> tuple[str, ...]:
+        return tuple(SIZES)
+
     def _troubles(self, rng: random.Random) -> Iterator[tuple[float, str, Health]]:
         for _ in range(rng.randint(1, 4)):
             at, region, length = rng.uniform(2_000, 9_000), rng.choice(list(SIZES)), rng.uniform(500, 5_000)
@@ -245,6 +250,13 @@
     return lambda self, region, sizes, changes=None: True
 
 
+def _all_may_go(begin: Method) -> Method:
+    """The share that may be out is taken for all."""
+    def begins(self: Steward, tuning: Tuning, table: Any, now_ms: float) -> None:
+        begin(self, dataclasses.replace(tuning, most_out=1.0), table, now_ms)
+    return begins
+
+
 def _from_nothing(preside: Method) -> Method:
     """A new steward does not ask what went before."""
     def presides(self: RegionNode, now_ms: float) -> Any:
@@ -282,6 +294,7 @@
 
 PLANTS: dict[str, tuple[type, str, Callable[[Method], Method]]] = {
     "takes-any-order": (RegionNode, "_take", _takes_any),
+    "guard-of-all": (Steward, "__init__", _all_may_go),
     "no-region-guard": (Steward, "may_leave", _no_guard),
     "starts-from-nothing": (RegionNode, "_preside", _from_nothing),
     "orders-unheld": (RegionNode, "tick", _ticks_on),
--- a/lab/world.py
+++ b/lab/world.py
@@ -32,6 +32,7 @@
 READY_S = 30.0
 IN_ACT_S = 3.0  # how long a fault waits for a holder to be in the middle of an act
 WAIT_MS = 2_000  # a request's own time; its answer is looked for a while longer
+SETTLED_MS = 1500.0  # after the start: all know the list, and no doorman is in its first moments
 TOLD_MS = 300.0  # by then every doorman has been told what the change log has
 
 
@@ -76,7 +77,7 @@
         self.taken = self.wrong = 0
         self.region_counts: dict[str, int] = {}
         self.said: list[str] = []  # answers to operators
-        self.ended = 0.0
+        self.began = self.ended = 0.0
         self._stack = contextlib.AsyncExitStack()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -188,7 +189,7 @@
     # The run ---------------------------------------------------------------------------------------------
 
     async def play(self) -> Result:
-        began = steady_ms()
+        began = self.began = steady_ms()
         if self.scenario.rps and self.scenario.requests:
             self._spawn(self._load())
         for fault in self.scenario.faults:
@@ -235,7 +236,7 @@
         try:
             status, _, _ = await asyncio.wait_for(
                 fetch(int(doorman.config["listen"].split(":")[1]), f"/rpc/waveform/{k % 97:x}?slice=0",
-                      wait_ms=WAIT_MS), WAIT_MS / 1000 + 3)
+                      wait_ms=WAIT_MS, Req_Id=f"{doorman.number:02x}{k:014x}"), WAIT_MS / 1000 + 3)
             what, doorman.up = str(status), starts
             self.latency.record_value(max(1, int((steady_ms() - began) * 1000)))
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
@@ -497,6 +498,15 @@
                 sizes[f"{role}:{depot.zone}"] = sizes.get(f"{role}:{depot.zone}", 0) + 1
         checker = RegionChecker(self.scenario.members, sizes, float(table.get("most_out", 0.5)))
         checker.play(sorted(events, key=lambda e: e["t"]))
+        calm = min((e["t"] for e in self.events if e["kind"] == "fault" and e["what"] != "end"), default=self.ended)
+        places: dict[str, set[str]] = {}
+        for depot in self.depots:
+            for met in depot.met if isinstance(depot, BusyDepot) else ():
+                if met.source and not met.probe and self.began + SETTLED_MS < met.t < calm - 200.0:
+                    places.setdefault(met.target, set()).add(met.source)
+        twice = sorted(target for target, sources in places.items() if len(sources) > 1)
+        if twice:
+            checker.violations.append(Violation("met-twice", calm, f"fills of {twice[:3]} met at two places in calm"))
         self.region_counts = {"orders": checker.orders, "changeovers": checker.changeovers,
                               "away": checker.most_away}
         return checker.violations
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -29,7 +29,7 @@
 AT_ONCE = 3  # scenarios side by side; each has five to twenty processes
 # The rule that finds a planted fault; two-holders for the others.
 FOUND = {"no-fence": "stale-act", "no-guard": "act-unheld", "no-takeover": "unprobed",
-         **dict.fromkeys(PLANTS, "over-"), "no-region-guard": "over-guard"}
+         **dict.fromkeys(PLANTS, "over-"), "guard-of-all": "over-guard", "own-hash": "met-twice"}
 
 
 @pytest.fixture(scope="session")
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -159,6 +159,8 @@
     for region in ("hub:a", "hub:b", "hub:c", "cache:s"):
         evidence.failed(5000.0, region)
     assert evidence.own_fault(5000.0)
+    evidence.loaded(5000.0, "hub:a", 7.0)
+    assert evidence.seen(5000.0)["hub:a"].busy == pytest.approx(0.2)
     evidence.follow(frozenset({"hub:a"}))
     assert set(evidence.seen(5000.0)) == {"hub:a"}
     for n in range(100):
