--- a/bench/budgets.py
+++ b/bench/budgets.py
@@ -26,6 +26,7 @@
 from beechslip.budgets.node import LEASE
 from beechslip.budgets.share import Whole
 from beechslip.leases.paxos import LeaseTuning
+from bench.text import page
 from lab.processes import ROOT
 from lab.scenario import read_scenario
 from lab.virtual import Net, Plan, VirtualFleet
@@ -191,7 +192,7 @@
         lines += soaked(pool, args.soak, args.workers)
     lines += before_and_after()
     args.out.mkdir(parents=True, exist_ok=True)
-    (args.out / "budgets.md").write_text("\n".join(lines) + "\n")
+    (args.out / "budgets.md").write_text(page(lines))
 
 
 def after_deaths(pool: ProcessPoolExecutor, seeds: list[int], out: Path) -> list[str]:
--- a/lab/stand.py
+++ b/lab/stand.py
@@ -190,12 +190,13 @@
 
 
 _given: set[int] = set()
+_chance = random.SystemRandom()  # processes that a pool has forked must not draw the same ports
 
 
 def free_port() -> int:
     """A port that nobody holds, from below those that the system gives out, and never the same twice."""
     while True:
-        port = random.randrange(15_000, 32_000)
+        port = _chance.randrange(15_000, 32_000)
         if port in _given:
             continue
         with (contextlib.suppress(OSError), socket.socket() as tcp,
