--- a/beechslip/budgets/node.py
+++ b/beechslip/budgets/node.py
@@ -159,10 +159,9 @@
             share.refund(now_ms)
             self.note("refund", whole=name)
 
-    def quiet_ms(self, now_ms: float, kind: str) -> float:
-        """How much longer what an earlier life has spent of ``kind`` may be felt: nothing is spent meanwhile."""
-        return max((self.born_ms + w.held_ms() - now_ms for name, w in self.wholes.items()
-                    if name.startswith(f"{kind}:")), default=0.0)
+    def quiet_ms(self, now_ms: float) -> float:
+        """How much longer what an earlier life has spent may be felt: nothing is spent meanwhile."""
+        return max((self.born_ms + w.held_ms() - now_ms for w in self.wholes.values()), default=0.0)
 
     def share(self, now_ms: float, name: str) -> float | None:
         """What this doorman may occupy of ``name`` (a rate: spend a second); ``None``: no such whole."""
--- a/beechslip/budgets/part.py
+++ b/beechslip/budgets/part.py
@@ -73,10 +73,9 @@
         return []
 
     async def ready(self) -> None:
-        """Wait until it may have connections: an earlier life's may still be felt at the depots. Fills and cold
-        depots' allowances may be so, too, for longer; meanwhile it serves what caches hold."""
+        """Wait until there is something to spend: an earlier life of this doorman may still be felt at the depots."""
         self.node.follow(self._clock.steady_ms(), self.plan.wholes(self._clock.now_ms()))
-        while (left := self.node.quiet_ms(self._clock.steady_ms(), "links")) > 0:
+        while (left := self.node.quiet_ms(self._clock.steady_ms())) > 0:
             await asyncio.sleep(left / 1000.0)
 
     def state(self) -> dict[str, object]:
