Budgets: a bound on how long a fill lasts, which is all that a start waits for

With fill_ms the attempts that count as fills end by it, at the depot too (X-Patience), and that is the tail of their wholes. It can't change while the program runs: doormans that hear of it at different times would count each other's fills short.

--- a/beechslip/budgets/part.py
+++ b/beechslip/budgets/part.py
@@ -144,6 +144,15 @@
         self._stamping = False
         self.node.stamp(self._clock.steady_ms())
 
+    def longest_ms(self, *depots: str) -> float:
+        """Fills end by ``fill_ms``, as their shares count them no longer."""
+        for name in depots:
+            depot = self.plan.depots.get(name)
+            role = self.plan.role(depot) if depot is not None else "cache"
+            if role != "cache" and self.plan.config.amounts[f"{role}_fills"]:
+                return self.plan.fill_ms()
+        return math.inf
+
     def spend(self, order: Order, again: bool) -> bool:
         """Asked by the engine right before an attempt's first byte."""
         costs = self.plan.costs(order, again, self._clock.now_ms())
--- a/beechslip/budgets/plan.py
+++ b/beechslip/budgets/plan.py
@@ -59,14 +59,14 @@
         found = [self._whole(name, "rate", amounts[rate], burst=amounts[burst])
                  for name, rate, burst in (("retries", "retries_per_s", "retry_burst"),
                                            ("probes", "probes_per_s", "probe_burst")) if amounts[rate]]
-        tail = 1000.0 * self.longest_s
+        tail, fills = 1000.0 * self.longest_s, self.fill_ms()
         idle = 1000.0 * (self.settings.conn_idle or IDLE_S)
         for depot in self.depots.values():
             role = self.role(depot)
             mine = role != "cache" or depot.zone == self.settings.zone
             sharers = self.here if role == "cache" else 0
             if role != "cache" and amounts[f"{role}_fills"]:
-                found.append(self._whole(f"fills:{depot.name}", "flight", amounts[f"{role}_fills"], tail))
+                found.append(self._whole(f"fills:{depot.name}", "flight", amounts[f"{role}_fills"], fills))
             if amounts[f"{role}_links"]:
                 found.append(self._whole(f"links:{depot.name}", "flight", amounts[f"{role}_links"], tail + idle,
                                          sharers=sharers, mine=mine))
@@ -74,6 +74,11 @@
                 found.append(self._cold_whole(depot, role, sharers, mine))
         return found
 
+    def fill_ms(self) -> float:
+        """The longest that an attempt which counts as a fill may last."""
+        longest = 1000.0 * self.longest_s
+        return min(self.config.fill_ms or longest, longest)
+
     def thinnest(self) -> list[Whole]:
         """One of each sort, as thin as it can be: for the check of the file."""
         kinds = (self.settings.origin_kind or "?", self.settings.parent_kind or "?", "")
--- a/beechslip/budgets/settings.py
+++ b/beechslip/budgets/settings.py
@@ -11,13 +11,14 @@
 
 AMOUNTS = ("retries_per_s", "retry_burst", "probes_per_s", "probe_burst", "origin_fills", "hub_fills", "cache_links",
            "hub_links", "origin_links", "cache_bears", "hub_bears")
-KEYS = ("enabled", "grant_ms", "floor_share", "travel_ms", "mean_ms", *AMOUNTS)
+KEYS = ("enabled", "grant_ms", "floor_share", "travel_ms", "mean_ms", "fill_ms", *AMOUNTS)
 
 
 @dataclass(frozen=True, slots=True)
 class BudgetsConfig:
     """Wholes of the fleet; 0: not divided by budgets. Rates are a second, ``*_fills`` and ``*_links`` numbers a
-    depot, ``*_bears`` transfers at full pace that a warm depot bears, ``mean_ms`` a request's mean sending time."""
+    depot, ``*_bears`` transfers at full pace that a warm depot bears, ``mean_ms`` a request's mean sending time.
+    ``fill_ms``: the longest that a fill may last (0: as long as a class's deadline)."""
 
     grant_ms: float
     floor_share: float
@@ -25,6 +26,7 @@
     mean_ms: float
     drift: float
     amounts: dict[str, float] = field(default_factory=dict)
+    fill_ms: float = 0.0
 
 
 def read_budgets(fleet: FleetConfig, leases: LeasesConfig | None) -> BudgetsConfig | None:
@@ -46,7 +48,8 @@
         raise table.fail("grant_ms", f"is {grant:g}, under eight times tick_ms {fleet.tick_ms:g}: a grant could not "
                                      "be asked for again in time")
     return BudgetsConfig(grant, share, table.number("travel_ms", 100.0, least=-1e-9),
-                         table.number("mean_ms", 100.0), leases.tuning.drift, amounts)
+                         table.number("mean_ms", 100.0), leases.tuning.drift, amounts,
+                         table.number("fill_ms", 0.0, least=-1e-9))
 
 
 def refuse_thin(config: BudgetsConfig, wholes: Iterable[Whole], members: int, table: str) -> None:
--- a/beechslip/core/engine.py
+++ b/beechslip/core/engine.py
@@ -313,6 +313,8 @@
             return
         now = self.clock.now_ms()
         timeout = min(to_ms(action.timeout) or opened.deadline_ms - now, opened.deadline_ms - now)
+        if self._spender is not None:
+            timeout = min(timeout, self._spender.longest_ms(action.store, action.source))
         max_age_ms = to_ms(action.max_age)
         if self._watcher is not None and not opened.call.write:
             limit = self._watcher.oldest_ms(action.store, action.source)
@@ -422,8 +424,8 @@
                 self._depots.pop(depot.name, None)
             else:
                 self._depots[depot.name] = depot
-            log.info("depot %s %s %s %s %s since %.0f", depot.name, depot.address, depot.zone, depot.kind,
-                     depot.state, depot.started_ms)
+            log.info("depot %s %s %s %s %s weight %g since %.0f", depot.name, depot.address, depot.zone,
+                     depot.kind, depot.state, depot.weight, depot.started_ms)
         self._prober.follow(self._depots.values())
         self._give(None, i.StoreList(listing.kind, tuple(
             i.StoreEntry(store=d.name, kind=d.kind, zone=d.zone, state=d.state, weight=d.weight, cell=d.cell,
--- a/beechslip/core/model.py
+++ b/beechslip/core/model.py
@@ -135,6 +135,10 @@
         """An attempt that was allowed has ended."""
         ...
 
+    def longest_ms(self, *depots: str) -> float:
+        """How long an attempt to or through these depots may last (inf: no limit)."""
+        ...
+
 
 class Watcher(Protocol):
     """Sees what becomes of attempts, and bounds the age of copies beside the module; never raises, never blocks."""
--- a/beechslip/doorman.py
+++ b/beechslip/doorman.py
@@ -170,7 +170,8 @@
             if peering is not None and peering.budgets is not None:
                 await peering.budgets.ready()
             await front.start(config.listen, config.fd)
-            log.info("%s listens on %s", config.name, config.listen)
+            log.info("%s listens on %s; %d doormans, longest deadline %g s", config.name, config.listen,
+                     settings.proxies, max((r.deadline for r in settings.classes.values()), default=0.0))
             await self._serve(tasks)
             if config.fd is not None:
                 front.hand_over()
--- a/beechslip/peering.py
+++ b/beechslip/peering.py
@@ -81,6 +81,9 @@
         budgets = _budgets(fleet, leases, settings)
         if (budgets is None) is not (self.budgets is None):
             raise ConfigError(f"{fleet.file}: budgets can't be turned on or off while the program runs")
+        if self.budgets is not None and budgets is not None and budgets.fill_ms != self.budgets.plan.config.fill_ms:
+            # Doormans that hear of it at different times would count each other's fills for less than they last.
+            raise ConfigError(f"{fleet.file}: budgets: fill_ms can't change while the program runs")
         regions = read_regions(fleet, leases)
         if (regions is None) is not (self.regions is None):
             raise ConfigError(f"{fleet.file}: regions can't be turned on or off while the program runs")
--- a/tests/test_budgets_wire.py
+++ b/tests/test_budgets_wire.py
@@ -16,12 +16,13 @@
 from tests.test_rules import Plan as Always
 
 
-def part_for(stand: Any, told: bool = True, **amounts: float) -> BudgetPart:
+def part_for(stand: Any, told: bool = True, fill_ms: float = 0.0, **amounts: float) -> BudgetPart:
     """A doorman alone, long after its start, whose floors are the wholes; it is the engine's spender. ``told``: the
     module hears of its shares; else the guard alone holds."""
     now = stand.clock.steady_ms()
     node = BudgetNode("d0", Lease("d0"), 1, now - 1e6, 1, here=1)
-    plan = Plan(BudgetsConfig(2000.0, 1.0, 0.0, 100.0, 0.01, dict.fromkeys(AMOUNTS, 0.0) | amounts), stand.settings)
+    plan = Plan(BudgetsConfig(2000.0, 1.0, 0.0, 100.0, 0.01, dict.fromkeys(AMOUNTS, 0.0) | amounts, fill_ms),
+                stand.settings)
     part = BudgetPart(node, plan, stand.clock, stand.counters,
                       stand.engine.post if told else lambda message: None)
     part.follow(stand.engine._depots.values())
@@ -71,6 +72,21 @@
         await asyncio.gather(*asks, return_exceptions=True)
 
 
+@run
+async def test_a_fill_ends_by_its_bound_which_is_all_that_a_start_waits_for() -> None:
+    async with Stand(*depots(HANG)) as stand:
+        part = part_for(stand, fill_ms=300.0, hub_fills=9.0, origin_fills=9.0)
+        assert {w.tail_ms for w in part.node.wholes.values()} == {300.0}
+        ask = stand.ask()
+        await until(lambda: any(d.seen for d in stand.depots[:2]))
+        _, fields, _ = next(d for d in stand.depots[:2] if d.seen).seen[0]
+        assert fields["X-Next-Hop"] == "hub" and int(fields["X-Patience"]) <= 300  # so it ends at the depot, too
+        stand.clock.advance(301)
+        await until(lambda: stand.counters["attempt.timeout"] >= 1)
+        ask.cancel()
+        await asyncio.gather(ask, return_exceptions=True)
+
+
 @run
 async def test_connections_to_a_depot_are_bounded_and_given_back() -> None:
     async with Stand(*depots(HANG)) as stand:
