Fleet orders that survive their runner, their agents and the store

Need: two agents on one store both started one instance (six starts in 11 s, each writing over the other), and nothing was known of full disks. Now: orders/ (conflicts, steps, errands; pure) kept in the store alone, one agent an instance by a lease, every write fenced by the lease's row in one statement, acts recorded before they are done, WAL, a PostgreSQL connection that is dialled anew, tables that are pruned, beechslip order drain|restart|retune|inspect|list|show|cancel. A store with 45 ms a statement made leases change hands for ever: now one statement reads all, kept beside the passes.

--- a/beechslip/counters.py
+++ b/beechslip/counters.py
@@ -16,5 +16,9 @@
     def __getitem__(self, name: str) -> int:
         return self._counts[name]
 
+    def all(self) -> dict[str, int]:
+        """Every count, by name."""
+        return dict(sorted(self._counts.items()))
+
     def line(self) -> str:
         return "counters " + " ".join(f"{name}={self._counts[name]}" for name in sorted(self._counts))
--- a/beechslip/doorman.py
+++ b/beechslip/doorman.py
@@ -136,7 +136,8 @@
             (front.send_away if away else front.welcome)()
             return True
 
-        pages = peering.pages() if peering is not None else None
+        pages: dict[str, Callable[[], Mapping[str, object]]] = {"/counters": self.counters.all}
+        pages |= peering.pages() if peering is not None else {}
         ops = OpsFront(self.clock, self.counters, lambda: front.taking, lambda: drain(True),
                        lambda: drain(False), pages, peering.calls() if peering is not None else None)
         names = None
@@ -170,14 +171,16 @@
             if peering is not None and peering.budgets is not None:
                 await peering.budgets.ready()
             await front.start(config.listen, config.fd)
-            log.info("%s listens on %s; %d doormans, longest deadline %g s", config.name, config.listen,
-                     settings.proxies, max((r.deadline for r in settings.classes.values()), default=0.0))
+            longest_s = max((r.deadline for r in settings.classes.values()), default=0.0)
+            log.info("%s, process %d, listens on %s; %d doormans, longest deadline %g s", config.name, os.getpid(),
+                     config.listen, settings.proxies, longest_s)
             await self._serve(tasks)
             if config.fd is not None:
                 front.hand_over()
             await asyncio.sleep(LINGER_S)
             front.drain()
             await engine.quiet.wait()
+            log.info("%s, process %d, has answered all that it took, and ends", config.name, os.getpid())
         finally:
             await front.close()
             await ops.close()
--- a/beechslip/leases/stored.py
+++ b/beechslip/leases/stored.py
@@ -1,8 +1,9 @@
 """The same leases over a store of record, for installations that have one: conditional writes, no clocks compared.
 
-A row a lease: holder, token, beat. A holder raises its beat; a contender that has seen one (token, beat) for the
-lease time and the drift, by its own clock, may take the row by a write that requires both unchanged, and raises
-the token. The holder's timer starts before its write is sent, and counts only once its answer is here:
+A row a lease: holder, token, beat, and how long it lasts. A holder raises its beat; a contender that has seen one
+(token, beat) for that time or its own longest, and the drift, by its own clock, may take the row by a write that
+requires both unchanged, and raises the token. The holder's timer starts before its write is sent, and counts only
+once its answer is here:
 
 - a write whose answer was lost counts as not done. The row is read anew, and if it is this holder's it is
   extended like any other, with a timer started then;
@@ -13,15 +14,17 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from beechslip.leases.paxos import LeaseTuning
-from beechslip.store import StoreError
+from beechslip.store import Rows, StoreError
 
 ROWS = """CREATE TABLE IF NOT EXISTS leases (
-    name TEXT PRIMARY KEY, holder TEXT NOT NULL, token BIGINT NOT NULL, beat BIGINT NOT NULL)"""
+    name TEXT PRIMARY KEY, holder TEXT NOT NULL, token BIGINT NOT NULL, beat BIGINT NOT NULL,
+    lasts_ms DOUBLE PRECISION NOT NULL DEFAULT 0)"""
+LATER = "ALTER TABLE leases ADD COLUMN lasts_ms DOUBLE PRECISION NOT NULL DEFAULT 0"  # an earlier version's lacks it
 
 
 class Leases(Protocol):
@@ -41,14 +44,6 @@
         ...
 
 
-class Rows(Protocol):
-    """A connection that commits each statement (:class:`beechslip.store.sql.Database`)."""
-
-    def run(self, sql: str, **values: Any) -> list[tuple[Any, ...]]:
-        """Rows of a statement; StoreError if it fails, or if nobody can tell."""
-        ...
-
-
 @dataclass(slots=True)
 class _Lease:
     seen: tuple[str, int, int] | None = None  # holder, token, beat as last read
@@ -88,6 +83,11 @@
         lease = self._leases.get(name)
         return lease.token if lease and now_ms < lease.deadline_ms - self.tuning.margin_ms else None
 
+    def told(self, name: str) -> str:
+        """Who holds it by the row as it was last read; "" if nobody, or it was not read yet."""
+        lease = self._leases.get(name)
+        return lease.seen[0] if lease is not None and lease.seen is not None else ""
+
     def outbid(self, name: str, token: int) -> None:
         lease = self._leases.get(name)
         if lease is not None:
@@ -107,47 +107,66 @@
 
     def tick(self) -> None:
         """Extend, take or look at each lease that is due. Never raises: a store that fails is counted."""
-        for name, lease in self._leases.items():
-            now = self.now_ms = self.clock()
+        now = self.now_ms = self.clock()
+        due = []
+        for name, lease in list(self._leases.items()):
             if lease.deadline_ms and now >= lease.deadline_ms:
                 self._lose(name, lease, "lost")
-            if now < lease.next_ms:
-                continue
-            lease.next_ms = now + self.tuning.resend_ms
+            if now >= lease.next_ms:
+                lease.next_ms = now + self.tuning.resend_ms
+                due.append((name, lease))
+        try:
+            if due and not self._ready:
+                self._prepare()
+            # One statement for all, however many: a slow store must not cost a lease for each that is looked at.
+            rows = self.rows.run("SELECT name, holder, token, beat, lasts_ms FROM leases") if due else []
+        except StoreError:
+            self._count("store_failed")
+            return
+        read_ms = self.clock()  # after the answer: what it says was so before
+        found = {str(row[0]): row[1:] for row in rows}
+        for name, lease in due:
             try:
-                if not self._ready:
-                    self.rows.run(ROWS)
-                    self._ready = True
-                self._step(name, lease)
+                self._step(name, lease, found.get(name), read_ms)
             except StoreError:
                 self._count("store_failed")
 
-    def _step(self, name: str, lease: _Lease) -> None:
-        rows = self.rows.run("SELECT holder, token, beat FROM leases WHERE name = :name", name=name)
-        now = self.clock()  # after the answer: what it says was so before
-        if not rows:
-            self._write(name, lease, 1, 0, now, "INSERT INTO leases (name, holder, token, beat) "
-                        "VALUES (:name, :holder, :token, :beat) ON CONFLICT (name) DO NOTHING RETURNING token", {})
+    def _prepare(self) -> None:
+        self.rows.run(ROWS)
+        try:
+            self.rows.run("SELECT lasts_ms FROM leases LIMIT 0")
+        except StoreError:
+            self.rows.run(LATER)
+        self._ready = True
+
+    def _step(self, name: str, lease: _Lease, row: Sequence[Any] | None, read_ms: float) -> None:
+        now = self.clock()  # before the write: its timer runs from here
+        if row is None:
+            self._write(name, lease, 1, 0, now, "INSERT INTO leases (name, holder, token, beat, "
+                        "lasts_ms) VALUES (:name, :holder, :token, :beat, :lasts_ms) ON CONFLICT (name) DO NOTHING "
+                        "RETURNING token", {})
             return
-        seen = (str(rows[0][0]), int(rows[0][1]), int(rows[0][2]))
+        seen = (str(row[0]), int(row[1]), int(row[2]))
         if seen != lease.seen:
-            lease.seen, lease.since_ms = seen, now
+            lease.seen, lease.since_ms = seen, read_ms
         holder, token, beat = seen
         mine = holder == self.holder and token > lease.least
-        stale = now - lease.since_ms >= self.tuning.longest_ms * (1.0 + self.tuning.drift)
+        lasts_ms = max(self.tuning.longest_ms, float(row[3]))
+        stale = read_ms - lease.since_ms >= lasts_ms * (1.0 + self.tuning.drift)
         if not mine and holder and not stale:
             self._count("refused")
             return
         after = token if mine else max(token, lease.least) + 1
         self._write(name, lease, after, beat + 1, now,
-                    "UPDATE leases SET holder = :holder, token = :token, beat = :beat "
+                    "UPDATE leases SET holder = :holder, token = :token, beat = :beat, lasts_ms = :lasts_ms "
                     "WHERE name = :name AND token = :was_token AND beat = :was_beat RETURNING token",
                     {"was_token": token, "was_beat": beat})
 
     def _write(self, name: str, lease: _Lease, token: int, beat: int, now: float, sql: str,
                where: dict[str, Any]) -> None:
         """``now`` was before the write: the timer runs from there."""
-        done = self.rows.run(sql, name=name, holder=self.holder, token=token, beat=beat, **where)
+        done = self.rows.run(sql, name=name, holder=self.holder, token=token, beat=beat,
+                             lasts_ms=self.tuning.lease_ms, **where)
         if not done:
             return
         lease.seen, lease.since_ms = (self.holder, token, beat), now
--- a/beechslip/store/sqlite.py
+++ b/beechslip/store/sqlite.py
@@ -18,6 +18,9 @@
             # The agent calls from worker threads, one at a time.
             self._connection = sqlite3.connect(path, timeout=BUSY_S, isolation_level=None,
                                                check_same_thread=False)
+            # Readers and a writer do not wait for one another; what has been committed outlives a power cut.
+            self._connection.execute("PRAGMA journal_mode = WAL").fetchall()
+            self._connection.execute("PRAGMA synchronous = FULL")
         except sqlite3.Error as error:
             raise StoreError(f"{path}: {error}") from None
 
--- a/lab/planted.py
+++ b/lab/planted.py
@@ -18,6 +18,7 @@
 from beechslip.leases.fence import Fence
 from beechslip.leases.messages import Ballot, Kind, LeaseMessage
 from beechslip.leases.paxos import Acceptor, Proposer
+from lab.agents import PLANTS as ORDERS
 from lab.virtual_budgets import PLANTS as BUDGETS
 from lab.virtual_regions import PLANTS as REGIONS
 
@@ -145,7 +146,7 @@
 
 ALL = FAULTS | {"own-hash": ("parents are hashed by each doorman alone", _own_hash)} | {
     name: (f"{where}: {name.replace('-', ' ')}", partial(_patch, plants[name]))
-    for where, plants in (("budgets", BUDGETS), ("regions", REGIONS)) for name in plants}
+    for where, plants in (("budgets", BUDGETS), ("regions", REGIONS), ("orders", ORDERS)) for name in plants}
 
 
 @contextlib.contextmanager
--- a/tests/pg_stand.py
+++ b/tests/pg_stand.py
@@ -15,7 +15,9 @@
 PASSWORD = "s3cret word"
 INT8, FLOAT8, TEXT = 20, 701, 25
 WHOLE = {20, 21, 23}
-COLUMN_TYPES = {"id": INT8, "pid": INT8, "restarts": INT8, "token": INT8, "beat": INT8, "at_ms": FLOAT8}
+COLUMN_TYPES = {"id": INT8, "pid": INT8, "restarts": INT8, "token": INT8, "beat": INT8, "at_ms": FLOAT8,
+                "order_id": INT8, "at_most": INT8, "by_zone": FLOAT8, "served": FLOAT8, "least_healthy": FLOAT8,
+                "least_served": FLOAT8, "lasts_ms": FLOAT8}
 SSL_REQUEST = 80877103
 
 
@@ -45,6 +47,7 @@
     """One client's connection."""
 
     server: PgStand
+    disable_nagle_algorithm = True
 
     def take(self, size: int) -> bytes:
         data = self.rfile.read(size)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -39,6 +39,9 @@
         self.signals.append("KILL")
         self.end(-9)
 
+    def reload(self) -> None:
+        self.signals.append("HUP")
+
     async def wait(self) -> int:
         await self.ended.wait()
         assert self.returncode is not None
@@ -61,6 +64,12 @@
     async def healthy(self, instance: Instance) -> bool:
         return self.answers
 
+    async def free(self, instance: Instance) -> bool:
+        return True
+
+    async def counters(self, instance: Instance) -> dict[str, int] | None:
+        return None
+
 
 class Scene:
     def __init__(self, store: Store) -> None:
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,367 @@
+"""Orders over many instances: their rules, the record in both stores, agents in virtual time with faults."""
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from beechslip.cli import main
+from beechslip.leases.stored import StoredLeases
+from beechslip.orders import errand as e
+from beechslip.orders.errand import Ended, Errand, View
+from beechslip.orders.model import Order, OrderState, Step, StepState, report, settle
+from beechslip.orders.record import OrderRows
+from beechslip.orders.runner import Act, OrderAct, Runner, StepAct, Waits, applied, cancel, strain
+from beechslip.store import Fence, Instance, Store, StoreError, open_store
+from beechslip.store.sqlite import SqliteDatabase
+from lab.agent_world import CASES, AgentWorld, Case, Outcome, run_case
+from lab.agents import PLANTS, play, sweep
+from lab.planted import plant as broken
+from tests.pg_stand import PgStand
+
+
+def order(number: int, names: str, state: OrderState = "waiting", kind: str = "drain", **more: object) -> Order:
+    """One with a step by letter; capitals are of zone z2, the others of z1."""
+    steps = tuple(Step(number, n, "z2" if n.isupper() else "z1", kind) for n in names)  # type: ignore[arg-type]
+    return Order(number, kind, f"op{number}", state=state, steps=steps, **more)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(("orders", "states"), [
+    ([order(1, "ab")], {1: "running"}),
+    ([order(1, "ab"), order(2, "bc")], {1: "refused", 2: "running"}),  # the later, as the earlier has not begun
+    ([order(1, "ab", "running"), order(2, "bc")], {2: "refused"}),
+    ([order(1, "ab", "paused"), order(2, "bc"), order(3, "c")], {2: "refused", 3: "running"}),
+    ([order(1, "a", "running"), order(2, "b"), order(3, "ab")], {2: "running", 3: "refused"}),  # 3 takes 2 along not
+    ([order(1, "ab", "done"), order(2, "ab")], {2: "running"}),
+    ([order(1, "ab", "running"), order(2, "ab", kind="inspect")], {2: "running"}),
+    ([order(1, "a"), order(2, "b")], {1: "running", 2: "running"}),
+])
+def test_orders_in_conflict_are_settled_by_one_rule(orders: list[Order], states: dict[int, str]) -> None:
+    verdicts = settle(orders)
+    assert {v.order.id: v.state for v in verdicts} == states
+    for verdict in verdicts:
+        other = [o for o in orders if o is not verdict.order and str(o) in verdict.why]
+        assert (verdict.state == "refused") == bool(other)  # who is refused is told by whom
+
+
+def run(one: Order, fleet: list[Instance], until_ms: float = 0.0, waits: Waits | None = None) -> list[Act]:
+    return Runner(waits).decide(until_ms, [one], fleet)
+
+
+def with_steps(one: Order, **states: StepState) -> Order:
+    return replace(one, steps=tuple(replace(s, state=states.get(s.instance, s.state)) for s in one.steps))
+
+
+@pytest.mark.parametrize(("one", "asked"), [
+    (order(1, "abc", "running", at_most=2), "ab"),
+    (with_steps(order(1, "abc", "running", at_most=2), a="taken"), "b"),
+    (with_steps(order(1, "abc", "running", at_most=2), a="asked", b="taken"), ""),
+    (with_steps(order(1, "abc", "running", at_most=2), a="done", b="died"), "c"),
+    (order(1, "abcdAB", "running", at_most=6, by_zone=0.5), "Aab"),  # half of four, and one of two
+    (with_steps(order(1, "abAB", "running", at_most=4, by_zone=0.5), A="taken"), "a"),
+    (order(1, "ab", "running", at_most=9, by_zone=0.01), "a"),  # one at least
+])
+def test_no_more_are_asked_than_an_order_allows(one: Order, asked: str) -> None:
+    acts = run(one, [])
+    assert "".join(a.step.instance for a in acts if isinstance(a, StepAct)) == asked
+
+
+def test_what_nobody_takes_is_withdrawn_and_what_is_taken_becomes_unknown() -> None:
+    one, runner = with_steps(order(1, "abc", "running", at_most=3), a="asked", b="taken", c="done"), Runner()
+    assert runner.decide(0.0, [one], []) == []
+    late = runner.decide(100_000.0, [one], [])
+    assert [(a.step.instance, a.state) for a in late if isinstance(a, StepAct)] == [
+        ("a", "not reached"), ("b", "unknown")]
+    one = applied(one, late)
+    last = runner.decide(100_000.0, [one], [])
+    assert [(a.state, a.why) for a in last if isinstance(a, OrderAct)] == [("done", "1 of 3 done")]
+    assert report(applied(one, last)).lines() == [
+        "order 1 (drain by op1): done: 1 of 3 done", "3 instances: 1 not reached, 1 unknown, 1 done",
+        "a\tnot reached: no agent took it in 100 s", "b\tunknown:  took it and was not heard of again"]
+    # A successor begins the waits anew, also where another has taken the step meanwhile.
+    other = with_steps(order(1, "a", "running"), a="taken")
+    assert runner.decide(0.0, [other], []) == []
+    moved = replace(other, steps=(replace(other.steps[0], holder="a2/1"),))
+    assert runner.decide(95_000.0, [moved], []) == []
+
+
+FLEET = [Instance(n, "", state="healthy", zone="z1") for n in "abcd"]
+
+
+@pytest.mark.parametrize(("changes", "why"), [
+    ({}, ""), ({"d": {"state": "waiting"}}, "2 of 3 instances are healthy, under 0.9: d"),
+    ({"a": {"state": "waiting"}}, ""),  # it is out by the order itself
+    ({"d": {"state": "drained", "wanted": "drained"}}, ""),
+    ({"b": {"served": 0.13}}, "under 0.75 of requests are served"),
+])
+def test_an_order_pauses_while_the_others_are_not_well_and_says_why(changes: dict[str, dict[str, object]],
+                                                                    why: str) -> None:
+    one = with_steps(order(1, "ab", "running", at_most=2, least_healthy=0.9, least_served=0.8), a="taken")
+    fleet = [replace(i, **changes.get(i.name, {})) for i in FLEET]  # type: ignore[arg-type]
+    assert strain(one, fleet).startswith(why) and bool(strain(one, fleet)) == bool(why)
+    acts = run(one, fleet)
+    if not why:
+        assert acts == [StepAct(one.steps[1], "asked")]
+        return
+    assert [(a.state, a.why) for a in acts if isinstance(a, OrderAct)] == [("paused", strain(one, fleet))]
+    paused = applied(one, acts)
+    assert run(paused, fleet) == []  # told once
+    assert run(paused, FLEET) == [OrderAct(paused, "running")]
+
+
+def test_an_order_that_is_called_off_asks_no_more_and_ends_what_is_out() -> None:
+    one = with_steps(order(1, "abc", "running"), a="taken", b="done")
+    assert [(a.step.instance, a.state) for a in cancel(one) if isinstance(a, StepAct)] == [("c", "refused")]
+    assert cancel(order(2, "a"))[-1] == OrderAct(order(2, "a"), "cancelled")
+
+
+UP, GONE = View("running", "healthy", 7), View("running", "drained", 0, Ended(7, 0))
+ERRANDS: dict[str, tuple[str, list[View], list[str], str]] = {
+    "drained": ("drain", [UP, replace(UP, wanted="drained"), replace(GONE, wanted="drained")],
+                ["want drained", "wait", "done"], "process 7 ended with 0"),
+    "killed as it ignored SIGTERM": (
+        "drain", [UP, View("drained", "drained", 0, Ended(7, -9, True))], ["want drained", "died"], "did not drain"),
+    "killed before": ("drain", [View("drained", "waiting", 0, Ended(7, -9))], ["died"], "before it could drain"),
+    "not running": ("drain", [View("drained", "drained")], ["done"], "was not running"),
+    "a former agent's still there": (
+        "drain", [View("drained", "waiting", free=False), View("drained", "drained")], ["wait", "done"],
+        "nobody saw how"),
+    "restarted": ("restart", [UP, UP, GONE, View("running", "starting", 8, Ended(7, 0)),
+                              View("running", "healthy", 8, Ended(7, 0))],
+                  ["stop", "wait", "start", "wait", "done"], "process 8 runs"),
+    "restarted after a kill": ("restart", [UP, replace(GONE, last=Ended(7, -9, True)),
+                                           View("running", "healthy", 8, Ended(7, -9, True))],
+                               ["stop", "start", "died"], "process 8 runs"),
+    "the new one ends": ("restart", [UP, GONE, View("running", "waiting", 0, Ended(8, 2))],
+                         ["stop", "start", "died"], "process 8 ended with 2 after the restart"),
+    "restart of a drained one": ("restart", [View("drained", "drained")], ["refused"], "wanted drained"),
+    "retuned": ("retune", [replace(UP, reloads=(0, 0)), replace(UP, reloads=(1, 0))], ["reload", "done"], ""),
+    "a file of no use": ("retune", [replace(UP, reloads=(0, 0)), replace(UP, reloads=(0, 1))],
+                         ["reload", "refused"], "can't use its file"),
+    "not taken up": ("retune", [replace(UP, reloads=(0, 0))] * 2, ["reload", "died"], "did not take up"),
+    "no counters": ("retune", [UP, UP], ["reload", "done"], "can't be read"),
+    "gone meanwhile": ("retune", [UP, View("running", "waiting", 0, Ended(7, 1))], ["reload", "died"],
+                       "ended with 1"),
+    "retune of none": ("retune", [View("running", "waiting")], ["refused"], "not running"),
+    "seen": ("inspect", [UP], ["done"], "healthy, process 7"),
+    "unwell": ("inspect", [View("running", "unhealthy", 7)] * 20, ["wait"] * 15 + ["died"], "unhealthy"),
+}
+
+
+@pytest.mark.parametrize("case", ERRANDS)
+def test_an_errand_says_each_move_and_what_came_of_it(case: str) -> None:
+    kind, views, moves, detail = ERRANDS[case]
+    errand = Errand(Step(1, "a", "", kind), views[0], 0.0)  # type: ignore[arg-type]
+    said = [errand.next(1000.0 * k, view) for k, view in enumerate(views)]
+    assert [m.what for m in said][:len(moves)] == moves and detail in said[len(moves) - 1].detail
+    assert e.INSPECT_MS == 15_000.0
+
+
+@pytest.mark.parametrize(("kind", "views", "what"), [
+    ("drain", [View("drained", "drained")], "done"), ("restart", [replace(UP, pid=9)], "done"),
+    ("retune", [UP], "done"),
+])
+def test_a_successor_does_what_is_left_and_says_that_it_took_over(kind: str, views: list[View], what: str) -> None:
+    move = Errand(Step(1, "a", "", kind), views[0], 0.0, "a0/1").next(0.0, views[-1])  # type: ignore[arg-type]
+    assert move.what == what and (kind == "retune" or "taken over from a0/1" in move.detail)
+
+
+# The record ------------------------------------------------------------------------------------------------
+
+
+@pytest.fixture(params=["sqlite", "postgresql"])
+def url(request: pytest.FixtureRequest, tmp_path: Path) -> Iterator[str]:
+    if request.param == "sqlite":
+        yield f"sqlite:///{tmp_path}/store.db"
+        return
+    server = PgStand()
+    yield server.url()
+    server.close()
+
+
+@pytest.fixture
+def store(url: str) -> Iterator[Store]:
+    opened = open_store(url)
+    yield opened
+    opened.close()
+
+
+def test_the_record_takes_a_write_only_from_who_holds_the_lease_and_on_what_was_read(store: Store) -> None:
+    now = [0.0]
+    leases = StoredLeases("a0", 1, store.rows, lambda: now[0])
+    leases.want("agent:n1", 0.0)
+    leases.tick()
+    mine, stale = Fence("agent:n1", "a0/1", 1), Fence("agent:n1", "a0/0", 1)
+    store.add(Instance("n1", "a", zone="z"))
+    rows = OrderRows(store.rows)
+    number = rows.give(5.0, "drain", "op", store.instances(), at_most=2, by_zone=0.5)
+    one = rows.get(number)
+    assert one is not None and one.steps == (Step(number, "n1", "z", "drain"),) and rows.open() == [one]
+    asked = replace(one.steps[0], state="asked")
+    assert rows.set_step(one.steps[0], "asked", "", None) and not rows.set_step(one.steps[0], "asked", "", None)
+    assert not rows.take(asked, "a0/0", stale) and rows.take(asked, "a0/1", mine)
+    assert not rows.set_step(asked, "not reached", "", None)  # it was taken meanwhile
+    with broken("withdraws-what-is-taken"):
+        assert rows.set_step(asked, "not reached", "", None)
+    taken = replace(asked, state="not reached", holder="a0/1")
+    assert rows.set_step(taken, "unknown", "", None) and rows.at_work() == [replace(taken, state="unknown")]
+    assert not rows.result(taken, "a0/0", "done", "", None) and rows.result(taken, "a0/1", "done", "late", mine)
+    assert rows.set_order(one, "done", "1 of 1 done", None) and not rows.set_order(one, "refused", "", None)
+    assert not store.report("n1", "healthy", 1, 0, 1.0, stale) and store.report("n1", "healthy", 1, 0, 0.5, mine)
+    assert not store.record(0.0, "n1", "x", "", stale) and store.record(0.0, "n1", "x", "", mine)
+    with pytest.raises(StoreError, match="another's"):
+        store.want("n1", "drained", stale)
+    assert not store.remove("n1", stale) and store.remove("n1", mine)
+    rows.prune(4.0, 100, None)
+    assert rows.newest(9) != [] and rows.get(99) is None
+    rows.prune(6.0, 100, None)
+    assert rows.newest(9) == [] and store.rows.run("SELECT instance FROM steps") == []
+
+
+def test_events_are_kept_by_age_and_number(store: Store) -> None:
+    for n in range(10):
+        store.record(float(n), "n1", f"k{n}")
+    store.prune(3.0, 100)
+    assert [x.kind for x in store.events()] == [f"k{n}" for n in range(3, 10)]
+    store.prune(0.0, 2)
+    assert [x.kind for x in store.events()] == ["k8", "k9"]
+
+
+def test_a_table_of_an_earlier_version_gets_its_new_columns(tmp_path: Path) -> None:
+    old = SqliteDatabase(str(tmp_path / "old.db"))
+    old.run("CREATE TABLE instances (name TEXT PRIMARY KEY, config TEXT, listen TEXT, wanted TEXT, state TEXT, "
+            "pid BIGINT, restarts BIGINT)")
+    old.run("INSERT INTO instances VALUES ('n1', 'c', '', 'running', 'healthy', 4, 2)")
+    old.close()
+    store = open_store(f"sqlite:///{tmp_path}/old.db")
+    assert store.instances() == [Instance("n1", "c", "", "running", "healthy", 4, 2)]
+    store.close()
+
+
+def test_a_connection_that_broke_is_dialled_anew_and_what_met_the_break_is_not_sent_again() -> None:
+    server = PgStand()
+    store = open_store(server.url())
+    store.rows._connection._usock.shutdown(2)  # type: ignore[attr-defined]
+    with pytest.raises(StoreError):
+        store.add(Instance("n1", "a"))
+    assert store.instances() == []
+    store.add(Instance("n1", "a"))
+    store.close()
+    server.close()
+
+
+def test_the_command_line_gives_orders_and_tells_what_came_of_them(url: str,
+                                                                   capsys: pytest.CaptureFixture[str]) -> None:
+    def call(*words: str) -> tuple[int, str, str]:
+        code = main(["--store", url, *words])
+        said = capsys.readouterr()
+        return code, said.out, said.err
+    for n in range(3):
+        call("instance", "add", f"n{n}", "--config", "x.json", "--zone", f"z{n % 2}", "--home", "a0")
+    for words, named in ((("drain",), "no instance is chosen"), (("drain", "n9"), "n9"),
+                         (("drain", "--zone", "z9"), "z9"), (("drain", "--all", "--at-most", "0"), "--at-most"),
+                         (("drain", "--all", "--by-zone", "2"), "shares"), (("show", "5"), "no order 5")):
+        code, _, told = call("order", *words)
+        assert code == 1 and named in told
+    assert call("order", "drain", "--zone", "z0", "--who", "ann") == (0, "order 1\n", "")
+    assert call("order", "list") == (0, "1\tdrain\tann\twaiting\t-\n", "")
+    assert call("order", "cancel", "1")[1] == ("order 1 (drain by ann): cancelled\n2 instances: 2 refused\n"
+                                               "n0\trefused: the order was cancelled\n"
+                                               "n2\trefused: the order was cancelled\n")
+    code, told, _ = call("order", "restart", "n1", "--wait", "0.3", "--who", "bob")
+    assert code == 0 and told.startswith("order 2\norder 2 (restart by bob): waiting\n1 instances: 1 waiting")
+    call("instance", "drain", "n1")
+    assert call("instance", "run", "n1")[0] == 0 and "wanted: running" in call("instance", "show", "n1")[1]
+
+
+# Agents with faults ----------------------------------------------------------------------------------------
+
+
+def test_agents_keep_the_rules_whatever_fails() -> None:
+    ended: dict[str, int] = {}
+    for seed in range(120):
+        writes, states, violations = play(seed)
+        assert violations == () and writes > 0, seed
+        for what, count in states.items():
+            ended[what] = ended.get(what, 0) + count
+    assert all(ended.get(what, 0) > 0 for what in ("done", "refused", "step done", "step died", "step not reached"))
+
+
+# Seeds that find a fault; the first few hundred where none is named.
+RARE = {"store-unfenced": [45, 79, 151], "orders-unfenced": [607], "acts-unrecorded": [227, 555],
+        "starts-unrecorded": [32, 51], "not-mine-not-running": [56, 72]}
+
+
+@pytest.mark.parametrize("plant", sorted(set(PLANTS) - {"withdraws-what-is-taken"}))
+def test_a_planted_fault_is_found(plant: str) -> None:
+    assert any(play(seed, plant)[2] for seed in RARE.get(plant, range(60)))
+
+
+@pytest.mark.parametrize("how", ["full", "io", "lost", "dies before", "dies after"])
+def test_an_order_ends_as_it_should_though_a_write_fails_at_any_place(how: str) -> None:
+    """Every second of the writes of a restart of four under two agents; ``python -m bench.orders`` plays them all."""
+    writes, _, _ = sweep("restart")
+    for write in range(1, writes + 1, 2):
+        _, ended, violations = sweep("restart", write, how)
+        assert violations == () and ended.state == "done" and {s.state for s in ended.steps} == {"done"}, write
+
+
+# Real agents and doormans --------------------------------------------------------------------------------------
+
+
+@pytest.fixture(scope="module")
+def outcomes(tmp_path_factory: pytest.TempPathFactory) -> dict[str, Outcome]:
+    folder = tmp_path_factory.mktemp("agents")
+
+    async def play_all() -> list[Outcome]:
+        turn = asyncio.Semaphore(2)
+
+        async def one(case: Case) -> Outcome:
+            """Untrue reports stand. An order that has not ended in four times its time is played again, twice."""
+            for number in range(3):
+                async with turn:
+                    server = PgStand() if case.postgres else None
+                    outcome = await run_case(case, folder / f"{case.name}-{number}", server.url() if server else "")
+                    if server:
+                        server.close()
+                if not outcome.violations or any(not v.startswith("not-ended") for v in outcome.violations):
+                    break
+            return outcome
+        return await asyncio.gather(*map(one, CASES))
+    return dict(zip((c.name for c in CASES), asyncio.run(play_all()), strict=True))
+
+
+@pytest.mark.parametrize("name", [c.name for c in CASES])
+def test_an_order_over_real_doormans_tells_the_truth_of_each(outcomes: dict[str, Outcome], name: str) -> None:
+    outcome = outcomes[name]
+    assert outcome.violations == []
+    ended = {s.state for o in outcome.orders if o.state == "done" for s in o.steps}
+    match name:
+        case "half-killed-in-a-drain" | "ignores-sigterm":
+            assert "died" in ended  # somebody was killed, and is named
+        case "two-operators":
+            assert len(outcome.refused) == 1 and "order 1 (restart by ann) runs" in outcome.refused[0]
+        case _:
+            assert ended == {"done"}
+
+
+def test_the_judge_of_real_runs_finds_an_untrue_report(tmp_path: Path) -> None:
+    world = AgentWorld(CASES[0], tmp_path)
+    world.folder.mkdir(exist_ok=True)
+    (tmp_path / "a0.log").write_text("".join(
+        f"2026-01-01 00:00:0{n},000 beechslip n{n}, process {10 + n}, listens on x; 1 doormans\n" for n in range(4))
+        + "2026-01-01 00:00:09,000 beechslip n0, process 10, has answered all that it took, and ends\n")
+    steps = [("n0", "done", "process 10 ended with 0"), ("n1", "done", "process 11 ended with 0"),
+             ("n0", "died", "process 10 killed, as it did not drain in time"), ("n2", "done", "it was not running"),
+             ("n3", "done", ""), ("n2", "died", "process 99 ended with -9")]
+    told = [Order(1, "drain", "op", state="done", steps=(Step(1, name, "", "drain", state, "", detail),))  # type: ignore[arg-type]
+            for name, state, detail in steps]
+    found = []
+    for one in told:
+        outcome = Outcome([one])
+        world._judge(outcome, {"n0": False, "n1": False, "n2": True, "n3": False})
+        found.append(bool(outcome.violations))
+    assert found == [False, True, True, True, True, True]
--- a/tests/test_stored_leases.py
+++ b/tests/test_stored_leases.py
@@ -94,7 +94,7 @@
 
 
 def test_the_checker_finds_a_contender_that_does_not_wait(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    hasty = LeaseTuning(1000.0, 400.0, 100.0, 0.01, 50.0)  # waits less than a lease time
+    hasty = LeaseTuning(1000.0, 1000.0, 100.0, -0.6, 50.0)  # waits less than a lease time
     monkeypatch.setitem(globals(), "T", hasty)
     found = 0
     for seed in range(10):
@@ -105,6 +105,20 @@
     assert found > 0
 
 
+def test_a_contender_waits_as_long_as_the_holder_says_whatever_its_own_time_is(rows: Rows) -> None:
+    now = [0.0]
+    one = StoredLeases("d0", 1, rows, lambda: now[0], T)
+    two = StoredLeases("d1", 1, rows, lambda: now[0], LeaseTuning(300.0, 300.0, 30.0, 0.01, 50.0))
+    for each in (one, two):
+        each.want("x", 0.0)
+        each.tick()
+    while two.held("x", now[0]) is None:
+        now[0] += 50.0
+        two.tick()
+        assert now[0] < 2000.0 and not (one.held("x", now[0]) and two.held("x", now[0]))
+    assert now[0] >= 1000.0
+
+
 def test_one_holds_extends_lets_go_and_another_follows(rows: Rows) -> None:
     now = [0.0]
     one, two = (StoredLeases(name, 1, rows, lambda: now[0], T) for name in ("d0", "d1"))
