Regions: left when most of their depots fail; late answers say less; budgets: ready sooner

Cause: one bad cache of four condemned its station; answers with long tails (p99 20 times the median) counted as failures, more of them with each region left; a step was held by a fifth of late answers. Now each depot has a score and the worst half do not count; lateness has a CUSUM weight of its own; a step is held by the statistic.

--- a/beechslip/budgets/node.py
+++ b/beechslip/budgets/node.py
@@ -160,8 +160,10 @@
             self.note("refund", whole=name)
 
     def quiet_ms(self, now_ms: float) -> float:
-        """How much longer what an earlier life has spent may be felt: nothing is spent meanwhile."""
-        return max((self.born_ms + w.held_ms() - now_ms for w in self.wholes.values()), default=0.0)
+        """How much longer an earlier life's fills and connections may be felt: none are made meanwhile. (Of cold
+        depots' windows nothing is spent either; a doorman can serve without them.)"""
+        return max((self.born_ms + w.held_ms() - now_ms for w in self.wholes.values() if w.kind == "flight"),
+                   default=0.0)
 
     def share(self, now_ms: float, name: str) -> float | None:
         """What this doorman may occupy of ``name`` (a rate: spend a second); ``None``: no such whole."""
--- a/beechslip/regions/node.py
+++ b/beechslip/regions/node.py
@@ -88,7 +88,7 @@
         """The regions that the change log names, with their depots in service."""
         self.sizes = dict(sizes)
         self._names = {region_id(name): name for name in sizes}
-        self.evidence.follow(frozenset(sizes))
+        self.evidence.follow(sizes)
 
     def table(self) -> dict[str, Place]:
         """By region listed, where the fleet stands with it."""
--- a/beechslip/regions/part.py
+++ b/beechslip/regions/part.py
@@ -138,16 +138,16 @@
         source = self.region(self._depots.get(order.source)) if order.source else ""
         result = ended.result
         if result in SHARED and order.source and depot:
-            evidence.unfilled(now, depot, source, result == "timeout")
+            evidence.unfilled(now, depot, source, result == "timeout", (order.depot.name, order.source))
         elif (result in BROKEN or result in SHARED) and depot:
-            evidence.failed(now, depot, result != "error")
+            evidence.failed(now, depot, result != "error", order.depot.name)
         elif result == "ok":
             filled = ended.note in FILLED and source
             name = source if filled else depot
             if order.source and depot:
                 evidence.filled(now, depot, source)
             if name:
-                evidence.answered(now, name, elapsed_ms)
+                evidence.answered(now, name, elapsed_ms, order.source if filled else order.depot.name)
             if depot and ended.report:
                 full = max(ended.report.get("busy", 0.0), ended.report.get("link", 0.0) / LINK_FULL)
                 evidence.loaded(now, depot, full)
--- a/beechslip/regions/steward.py
+++ b/beechslip/regions/steward.py
@@ -22,6 +22,7 @@
 
 ALPHA = 1e-6  # chance of leaving a region that is well, a test
 SHRINK, TIMES = 0.5 * BAD, 2.0
+HOLD = 0.5  # of what leaves a region: a step that has so much against it lasts longer
 FEW = 6.0  # attempts within a step that tell whether it is borne
 IDLE_STEPS = 4.0  # times a step's length, after which too few attempts no longer hold it
 STRAINED = 0.9  # share of links in use
@@ -140,7 +141,7 @@
     def _next(self, now_ms: float, region: str, place: Place, sizes: Mapping[str, int],
               reports: Mapping[str, Mapping[str, Seen]], strained: frozenset[str],
               changes: Mapping[str, Place]) -> Place:
-        tried, bad, busy = evidence_for(region, reports)
+        tried, _, busy = evidence_for(region, reports)
         score, who = suspicion(region, reports)
         failing = who >= min(2, len(reports)) and score > math.log(1.0 / ALPHA) + TIMES * usual(region, reports,
                                                                                              self.table)
@@ -163,7 +164,7 @@
                 return Place(State.LEAVING, 0, min(place.backoff + 1, MOST_WAIT))
             return replace(place, step=place.step - 1)
         elif for_ms >= self.tuning.step_ms and busy < STRAINED and region not in strained:
-            if bad > 0.2 * tried or (tried < FEW and for_ms < IDLE_STEPS * self.tuning.step_ms):
+            if score > HOLD * math.log(1.0 / ALPHA) or (tried < FEW and for_ms < IDLE_STEPS * self.tuning.step_ms):
                 return place
             self._strikes.pop(region, None)
             if place.step + 1 >= len(STEPS):
--- a/lab/virtual_regions.py
+++ b/lab/virtual_regions.py
@@ -203,13 +203,14 @@
     def _try(self, name: str, node: RegionNode, local: float, region: str, usual_ms: float) -> None:
         health, rng = self.health[region], self._traffic
         self.tried += 1
+        depot = f"{region}/{rng.randrange(SIZES[region])}"
         if name in health.cut or rng.random() < max(health.failing, 0.005):
-            node.evidence.failed(local, region)
+            node.evidence.failed(local, region, True, depot)
             self.lost.append((self.now, region))
         else:
             if health.slow > 4:
                 self.lost.append((self.now, region))
-            node.evidence.answered(local, region, usual_ms * health.slow * rng.uniform(0.5, 2.0))
+            node.evidence.answered(local, region, usual_ms * health.slow * rng.uniform(0.5, 2.0), depot)
 
     def _through(self, sender: str, message: Any) -> Any:
         """Region messages have been through their own codec."""
