--- a/bench/regions.py
+++ b/bench/regions.py
@@ -77,7 +77,14 @@
     moments, twice = doubled((m.t, m.target, m.source) for m in met if m.t >= failed)
     bad = sum(c.get("attempt.error", 0) + c.get("attempt.reset", 0) + c.get("attempt.timeout", 0)
               for c in result.counters.values())
-    return {"left": max(left, default=0.0), "left_each": float(np.median(left)) if left else 0.0,
+    # From the failure to the load's end; a day's worth is what is answered with 200.
+    after = [what == "200" for t, what in world.asked if t >= failed]
+    well = [e["t"] for e in result.events if e["kind"] == "fault" and e.get("what") == "zone"][1:]
+    calls = [e for e in result.events if e["kind"] == "changeover"]
+    away = {e["member"]: bool(e["away"]) for e in calls}
+    back = max((e["t"] for e in calls), default=0.0) - well[-1] if well and calls and not any(away.values()) else -1.0
+    return {"lost": after.count(False) / max(1, len(after)), "back": back,
+            "left": max(left, default=0.0), "left_each": float(np.median(left)) if left else 0.0,
             "twice": twice / max(1, moments), "bad": float(bad), "p99": result.latency_ms["p99"],
             "served": result.answers.get("200", 0) / max(1, sum(result.answers.values())),
             "violations": float(len(result.violations))}
@@ -127,9 +134,10 @@
 and the most where it says so. *Off*: the program without regions. Left: from the failure to a doorman's last
 attempt through
 the hub. Twice: of the moments (250 ms) in which an object was filled, those in which its fills met at two
-places.""", "",
+places. Lost: share of the requests from the failure to the end of the load that were not served. Back: from when the
+hub is well again to the last doorman's last change-over (mean of the seeds with a full return).""", "",
              "| scenario | regions | all left, mean (most) ms | each left, median ms | twice | bad attempts | p99 ms "
-             "| served | rules broken |", "| --- | --- |" + " ---: |" * 7]
+             "| served | lost after | back, s | rules broken |", "| --- | --- |" + " ---: |" * 9]
     cells = [(n, hub, on, seed) for n, hub in SCENARIOS.items() for on in (False, True)
              for seed in range(1, args.seeds + 1)]
     with ProcessPoolExecutor(2) as pool:
@@ -140,9 +148,12 @@
             each, twice, bad, p99, served, broken = (
                 float(np.mean([r[k] for r in mine])) for k in ("left_each", "twice", "bad", "p99", "served",
                                                                "violations"))
+            lost = float(np.mean([r["lost"] for r in mine]))
+            backs = [r["back"] / 1000.0 for r in mine if on and r["back"] >= 0]
+            back = f"{np.mean(backs):.1f}" if backs else "-"
             lines.append(f"| {name} | {'on' if on else 'off'} | {np.mean([r['left'] for r in mine]):.0f} "
                          f"({max(r['left'] for r in mine):.0f}) | {each:.0f} | {twice:.3f} | {bad:.0f} | {p99:.0f} "
-                         f"| {served:.3f} | {broken:.0f} |")
+                         f"| {served:.3f} | {lost:.3f} | {back} | {broken:.0f} |")
             print(lines[-1], flush=True)
     with ProcessPoolExecutor(args.workers) as pool:
         grid = [(size, rps, how, loss, seed) for size, rps in ((10, 12.0), (40, 3.0), (200, 0.6))
--- a/lab/world.py
+++ b/lab/world.py
@@ -74,6 +74,7 @@
         self.ways: dict[tuple[int, str], TcpRelay] = {}  # by doorman and depot, or "log"
         self.doormans: list[DoormanProcess] = []
         self.answers: dict[str, int] = {}
+        self.asked: list[tuple[float, str]] = []  # when, and what came of it
         self.latency = HdrHistogram(1, 60_000_000, 3)  # microseconds
         self.taken = self.wrong = 0
         self.region_counts: dict[str, int] = {}
@@ -248,6 +249,7 @@
             what = "none" if ran else "cut off"
             self.wrong += ran
         self.answers[what] = self.answers.get(what, 0) + 1
+        self.asked.append((began, what))
 
     def _touched(self, doorman: DoormanProcess, since: float) -> bool:
         return any(e["t"] >= since - WAIT_MS and e["member"] in (doorman.name, "all") for e in self.events)
