--- a/bench/orders.py
+++ b/bench/orders.py
@@ -59,11 +59,12 @@
     parser.add_argument("--workers", type=int, default=7)
     parser.add_argument("--out", type=Path, default=Path(__file__).parent / "results")
     args = parser.parse_args()
-    lines = ["# Fleet orders", "", f"`python -m bench.orders --seeds {args.seeds} --soak {args.soak}`", "",
+    asked = f"`python -m bench.orders --seeds {args.seeds} --soak {args.soak}`"
+    lines = ["# Fleet orders", "", asked, "",
              "## Restarting twenty doormans under load", "",
-             """Twenty real doormans under five agents on one SQLite store, 60 requests a second; a client that is refused
-the connection tries two more doormans. Means over the seeds. Served: of all requests of the run; worst: of those of one
-second while the order ran. Each agent looks at its instances twice a second.""", "",
+             """Twenty real doormans under five agents on one SQLite store, 60 requests a second; a client that is
+refused the connection tries two more doormans. Means over the seeds. Served: of all requests of the run; worst: of
+those of one second while the order ran. Each agent looks at its instances twice a second.""", "",
              "| way | took s | served | worst second | not done, as the report has it | rules broken |",
              "| --- | ---: | ---: | ---: | --- | ---: |"]
     worst: dict[str, float] = {}
@@ -78,9 +79,11 @@
         print(lines[-1], flush=True)
     draw(worst, args.out / "orders.png")
     lines += ["", "![worst second](orders.png)", "", "## Every numbered write failing", "",
-              """A start of four instances under two agents and an order over all of them, once for each write of the
-fleet. *lost*: carried out, and its answer lost; *dies*: the agent that writes is killed, before or after it.""", "",
-              "| order | how | plays | orders done | steps | rules broken |", "| --- | --- | ---: | ---: | --- | ---: |"]
+              """A start of four instances under two agents and an order over all of them, once for each write of
+the fleet. *lost*: carried out, and its answer lost; *dies*: the agent that writes is killed, before
+or after it.""", "",
+              "| order | how | plays | orders done | steps | rules broken |",
+              "| --- | --- | ---: | ---: | --- | ---: |"]
     kinds: tuple[Kind, ...] = ("restart", "drain", "retune")
     with ProcessPoolExecutor(args.workers) as pool:
         cells = [(kind, how) for kind in kinds for how in HOWS]
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -2,7 +2,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
 
@@ -172,23 +171,6 @@
 # The record ------------------------------------------------------------------------------------------------
 
 
-@pytest.fixture(params=["sqlite", "postgresql"])
-def url(request: pytest.FixtureRequest, tmp_path: Path) -> Iterator[str]:
-    if request.param == "sqlite":
-        yield f"sqlite:///{tmp_path}/store.db"
-        return
-    server = PgStand()
-    yield server.url()
-    server.close()
-
-
-@pytest.fixture
-def store(url: str) -> Iterator[Store]:
-    opened = open_store(url)
-    yield opened
-    opened.close()
-
-
 def test_the_record_takes_a_write_only_from_who_holds_the_lease_and_on_what_was_read(store: Store) -> None:
     now = [0.0]
     leases = StoredLeases("a0", 1, store.rows, lambda: now[0])
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -3,7 +3,6 @@
 
 import subprocess
 import sys
-from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -13,23 +12,6 @@
 from tests.pg_stand import PgStand
 
 
-@pytest.fixture(params=["sqlite", "postgresql"])
-def url(request: pytest.FixtureRequest, tmp_path: Path) -> Iterator[str]:
-    if request.param == "sqlite":
-        yield f"sqlite:///{tmp_path}/store.db"
-        return
-    server = PgStand()
-    yield server.url()
-    server.close()
-
-
-@pytest.fixture
-def store(url: str) -> Iterator[Store]:
-    opened = open_store(url)
-    yield opened
-    opened.close()
-
-
 def test_an_instance_is_kept_as_declared_and_reported(store: Store, url: str) -> None:
     store.add(Instance("n1", "/etc/n1; DROP TABLE instances", "127.0.0.1:7001"))
     store.add(Instance("n0", "/etc/n0"))
