Keyed requests on record before their first byte, so that a restart sends none again

Need: a doorman that was killed knew nothing of the picks it had sent; its client's next try was sent again whatever the class's window (the kill test finds such picks with the record off). Now a file under deploy/ names a store; a keyed request goes on record by its client's token with the boot and the steady clock, and one that comes again is sent only within its window, in the same boot.

--- a/beechslip/core/engine.py
+++ b/beechslip/core/engine.py
@@ -23,12 +23,14 @@
     Carrier,
     ClientLeft,
     Depot,
+    Earlier,
     Ended,
     Final,
     Listing,
     Order,
     Prober,
     Purged,
+    Recorder,
     Result,
     Retuned,
     Spender,
@@ -61,7 +63,7 @@
     """A request that awaits its final answer."""
 
     __slots__ = ("alarm", "answerer", "attempts", "call", "carrier", "deadline_ms", "flight", "most",
-                 "risk_ms", "rule", "sent")
+                 "noted", "risk_ms", "rule", "sent")
 
     def __init__(self, taken: Taken, settings: i.Settings) -> None:
         self.call: Call = taken.call
@@ -76,6 +78,7 @@
         self.most = settings.max_attempts or NO_CAP
         self.flight: Flight | None = None
         self.risk_ms: float | None = None  # when the first attempt that may have run was sent
+        self.noted = False  # on record before its first byte, where a store is declared
         self.alarm: Alarm | None = None
 
 
@@ -106,14 +109,24 @@
         self.flight, self.ended = flight, ended
 
 
+class _SentBefore:
+    """A keyed request that was sent in another life, or by another doorman, and may not be sent any more."""
+
+    __slots__ = ("opened",)
+
+    def __init__(self, opened: Open) -> None:
+        self.opened = opened
+
+
 class Engine:
     """Owns the module. ``post`` is the one way in."""
 
     def __init__(self, settings: i.Settings, module: Module, clock: Clock, prober: Prober,
                  counters: Counters, spender: Spender | None = None,
-                 watcher: Watcher | None = None) -> None:
+                 watcher: Watcher | None = None, recorder: Recorder | None = None) -> None:
         self.settings, self.clock, self.counters = settings, clock, counters
         self._module, self._prober, self._spender, self._watcher = module, prober, spender, watcher
+        self._recorder = recorder
         self._urgent, self._ordinary = deque[object](), deque[object]()
         self._posted = asyncio.Event()
         self._open: dict[str, Open] = {}
@@ -166,6 +179,8 @@
                     self._give(None, message)
                 case Open():
                     self._on_last_moment(message)
+                case _SentBefore():
+                    self._on_sent_before(message.opened)
         except Exception:
             # Guards against an engine task that dies of one bad message and leaves all requests unanswered.
             self.counters.add("fault.engine")
@@ -252,6 +267,14 @@
         self._close(opened, Final("failed", cause="deadline"))
         self._forget(opened)
 
+    def _on_sent_before(self, opened: Open) -> None:
+        """Its depots no longer discard repeats, or nobody can tell: it is not sent again, and its client hears so."""
+        if self._open.get(opened.call.id) is not opened:
+            return
+        self.counters.add("sent_before")
+        self._close(opened, Final("failed", cause="sent before"))
+        self._forget(opened)
+
     def _on_left(self, left: ClientLeft) -> None:
         opened = self._open.get(left.id)
         if opened is None or opened.answerer is not left.answerer:
@@ -268,6 +291,8 @@
 
     def _drop(self, opened: Open) -> None:
         del self._open[opened.call.id]
+        if opened.noted and self._recorder is not None and opened.risk_ms is None and opened.flight is None:
+            self._recorder.forget(opened.call.token)  # none of its attempts can have run
         if opened.alarm is not None:
             opened.alarm.cancel()
         if not self._open:
@@ -363,6 +388,8 @@
 
     async def _fly(self, opened: Open, flight: Flight) -> None:
         try:
+            if self._recorder is not None and not await self._on_record(self._recorder, opened):
+                return
             flight.ended = await opened.carrier.carry(flight.order, lambda: self._may_start(opened, flight))
         except asyncio.CancelledError:
             # What never came to its first byte proves that nothing ran, and says nothing of the depot.
@@ -373,6 +400,23 @@
             log.exception("attempt %s/%d", flight.order.call.id, flight.order.number)
             flight.ended = Ended("error")
 
+    async def _on_record(self, recorder: Recorder, opened: Open) -> bool:
+        """Whether a request may be sent as far as the record goes; what could not be put on record is not."""
+        rule, token = opened.rule, opened.call.token
+        if opened.noted or not token or rule is None or rule.effect != "keyed":
+            return True
+        found = await recorder.note(token)
+        opened.noted = found is not False
+        if isinstance(found, Earlier):
+            risk = found.sent_ms if opened.risk_ms is None else min(opened.risk_ms, found.sent_ms)
+            opened.risk_ms = risk
+            if rule.group != "all" or self.clock.now_ms() >= risk + to_ms(rule.window) - WINDOW_MARGIN_MS:
+                self.post(_SentBefore(opened))
+                return False
+        elif found is False:
+            self.counters.add("unrecorded")
+        return opened.noted
+
     def _on_finished(self, flight: Flight, ended: Ended) -> None:
         order, now = flight.order, self.clock.now_ms()
         self._flights.pop((order.call.id, order.number), None)
@@ -383,13 +427,13 @@
         if opened is not None and opened.call is order.call:
             if opened.flight is flight:
                 opened.flight = None
+            if ended.result not in PROVEN_UNRUN and opened.risk_ms is None:
+                opened.risk_ms = flight.sent_ms
             if ended.result == "handed_out":
                 self._close(opened, Final("served"))
                 self._give(None, i.ClientGone(order.call.id))
             elif ended.result == "ok":
                 self._close(opened, Final("served", ended.payload))
-            elif ended.result not in PROVEN_UNRUN and opened.risk_ms is None:
-                opened.risk_ms = flight.sent_ms
         else:
             opened = None
         outcome = i.Outcome(
--- a/beechslip/core/model.py
+++ b/beechslip/core/model.py
@@ -99,7 +99,7 @@
     kind: Literal["served", "refused", "failed"]
     payload: Payload | None = None
     retry_after_ms: float = 0.0
-    cause: Literal["", "deadline", "duplicate", "fault"] = ""
+    cause: Literal["", "deadline", "duplicate", "fault", "sent before"] = ""
 
 
 class Carrier(Protocol):
@@ -140,6 +140,26 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class Earlier:
+    """A keyed request was on record: first sent at ``sent_ms`` (of ``Clock.now_ms``; -inf: nobody can tell)."""
+
+    sent_ms: float
+
+
+class Recorder(Protocol):
+    """Remembers which keyed requests have been sent, over restarts."""
+
+    async def note(self, token: str) -> Earlier | bool:
+        """Put a request on record before its first byte: True once it is, what was there if it was already, False if
+        it could not be recorded in the time that the operators allow."""
+        ...
+
+    def forget(self, token: str) -> None:
+        """No attempt of it can have run. Never waits."""
+        ...
+
+
 class Watcher(Protocol):
     """Sees what becomes of attempts, and bounds the age of copies beside the module; never raises, never blocks."""
 
--- a/beechslip/doorman.py
+++ b/beechslip/doorman.py
@@ -15,7 +15,7 @@
 from aldershed.interface import Settings
 from aldershed.logic import Router
 from beechslip.clock import Alarm, Clock, SystemClock
-from beechslip.config import Config, ConfigError, read_config, reread_config
+from beechslip.config import RECORD_FILE, Config, ConfigError, read_config, read_enabled, reread_config
 from beechslip.core.engine import Engine
 from beechslip.core.model import Prober, Retuned
 from beechslip.core.retune import BIND_MS, overlap
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     from beechslip.peering import Peering  # imported only where the fleet's file is on: protobuf stays out
+    from beechslip.store.sent import SentRecord
 
 log = logging.getLogger("beechslip")
 
@@ -103,11 +104,21 @@
         for tune in self._tuned:
             tune(settings)
 
+    def _record(self) -> SentRecord | None:
+        """What has been sent, where the operators' file names a store for it; off in deploy/record.toml."""
+        told = os.environ.get("EDGE_RECORD")
+        if read_enabled(Path(told) if told else RECORD_FILE) is None:
+            return None
+        from beechslip.store.sent import open_record  # without it no driver is loaded
+
+        return open_record(Path(told) if told else RECORD_FILE, self.clock, self.counters)
+
     async def run(self) -> None:
         config, settings = self.config, self.config.settings
         client = DepotClient(settings, config.sockets, self.clock, self.counters)
         posted: list[Callable[[object], None]] = []
         prober: Prober = client
+        record = self._record()
         refuse_old(os.environ)
         fleet = read_fleet(self._fleet_file(), config)
         if fleet is not None:
@@ -120,7 +131,7 @@
         peering = self._peering
         engine = Engine(settings, Router(settings, config.seed), self.clock, prober, self.counters,
                         peering.budgets if peering is not None else None,
-                        peering.regions if peering is not None else None)
+                        peering.regions if peering is not None else None, record)
         posted.append(engine.post)
         last, news, unread = parse_known(config.known)
         if unread:
@@ -192,6 +203,8 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
             await client.close()
+            if record is not None:
+                record.close()
             log.info("%s", self.counters.line())
 
     async def _serve(self, tasks: list[asyncio.Task[None]]) -> None:
--- a/beechslip/platform/front.py
+++ b/beechslip/platform/front.py
@@ -23,7 +23,7 @@
 # Sent away, clients keep coming on new connections for 0.3 s: the platform asks /health every 0.1 s and goes
 # by the last answer for 0.2 s more. 4 s after the call nobody may wait here with a request of the last 2 s.
 SENT_ON_MS, LAST_TAKEN_MS = 400.0, 1_800.0
-STATUS = {"": 502, "deadline": 504, "duplicate": 409, "fault": 500}
+STATUS = {"": 502, "deadline": 504, "duplicate": 409, "fault": 500, "sent before": 502}
 
 
 class HttpAnswerer:
--- a/tests/pg_stand.py
+++ b/tests/pg_stand.py
@@ -17,7 +17,7 @@
 WHOLE = {20, 21, 23}
 COLUMN_TYPES = {"id": INT8, "pid": INT8, "restarts": INT8, "token": INT8, "beat": INT8, "at_ms": FLOAT8,
                 "order_id": INT8, "at_most": INT8, "by_zone": FLOAT8, "served": FLOAT8, "least_healthy": FLOAT8,
-                "least_served": FLOAT8, "lasts_ms": FLOAT8}
+                "least_served": FLOAT8, "lasts_ms": FLOAT8, "steady_ms": FLOAT8}
 SSL_REQUEST = 80877103
 
 
--- /dev/null
+++ b/tests/test_record.py
@@ -0,0 +1,242 @@
+"""Keyed requests on record: what may be sent again after a restart, by whom, and what a failing store means."""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import copy
+import os
+import random
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from beechslip.config import ConfigError
+from beechslip.store import StoreError
+from beechslip.store.sent import MOST_WAITING, RecordConfig, SentRecord, open_record, read_record
+from lab.processes import ROOT
+from lab.stand import (
+    OK,
+    SETTINGS,
+    Stand,
+    StandDepot,
+    fetch,
+    free_port,
+    line,
+    listening,
+    read_message,
+    run,
+)
+from lab.stand import until as reached
+from tests.pg_stand import PgStand
+
+FULL = b"HTTP/1.1 503 Service Unavailable\r\nX-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+WINDOW_S = 1.5
+
+
+@asynccontextmanager
+async def stage(url: str, *script: bytes, **config: Any) -> AsyncIterator[tuple[Stand, SentRecord]]:
+    """A doorman whose depots answer by ``script``, with a record."""
+    boxes = (StandDepot("a", *script), StandDepot("hub", *script, kind="parent", zone="north"),
+             StandDepot("archive", *script, kind="origin", zone="north"))
+    async with Stand(*boxes) as stand:
+        record = SentRecord(RecordConfig(url, **({"wait_ms": 3000.0, "keep_s": 60.0} | config)), stand.clock,
+                            stand.counters)
+        stand.engine._recorder = record
+        yield stand, record
+        record.close()
+
+
+def pick(stand: Stand, token: str = "5c") -> Any:
+    return stand.ask(target="/rpc/pick-submit/9c", method="PUT", body=b"pick", wait_ms=1500, Req_Token=token)
+
+
+def sends(stand: Stand) -> int:
+    return sum(len(d.seen) for d in stand.depots)
+
+
+@run
+async def test_what_was_sent_in_another_life_is_sent_again_within_its_window_and_not_after(url: str) -> None:
+    async with stage(url, OK) as (stand, record):
+        assert (await pick(stand))[0] == 200 and sends(stand) == 1
+        stand.clock.advance(5_000)
+        assert (await pick(stand))[0] == 200 and sends(stand) == 2  # its window is 6 s
+        stand.clock.advance(1_500)
+        status, _, _ = await pick(stand)
+        assert status == 502 and sends(stand) == 2 and stand.counters["sent_before"] == 1
+        assert (await pick(stand, "6d"))[0] == 200
+        record._boot = "another"  # the machine has started again: nobody knows how long ago it was
+        assert (await pick(stand, "6d"))[0] == 502 and sends(stand) == 3
+        assert (await stand.ask())[0] == 200  # what has no key is not on record
+
+
+@run
+async def test_only_depots_that_all_discard_repeats_may_meet_one_again(url: str) -> None:
+    async with stage(url, OK) as (stand, _):
+        rule = stand.engine.settings.classes["pick-submit"]
+        stand.engine.settings.classes["pick-submit"] = replace(rule, group="zone")
+        assert (await pick(stand))[0] == 200
+        assert (await pick(stand))[0] == 502 and sends(stand) == 1
+
+
+@run
+async def test_what_can_not_have_run_is_taken_off_the_record(url: str) -> None:
+    async with stage(url, FULL) as (stand, record):
+        assert (await pick(stand))[0] in (503, 429, 504)
+
+        def rows() -> int:
+            return len(record._rows().rows.run("SELECT op_key FROM sent"))
+        await asyncio.sleep(0.05)
+        await reached(lambda: rows() == 0)
+
+
+class Failing:
+    """A store that is away, or takes its time."""
+
+    serial = ""
+
+    def __init__(self, sleep_s: float) -> None:
+        self.sleep_s = sleep_s
+
+    @property
+    def rows(self) -> Any:
+        return self
+
+    def run(self, sql: str, **values: Any) -> Any:
+        time.sleep(self.sleep_s)
+        raise StoreError("database or disk is full")
+
+    def close(self) -> None:
+        pass
+
+
+@pytest.mark.parametrize("sleep_s", [0.0, 0.4])
+@run
+async def test_a_pick_that_can_not_be_put_on_record_is_not_sent_and_all_else_is_served(sleep_s: float) -> None:
+    async with stage("sqlite:///x", OK, wait_ms=30.0) as (stand, record):
+        record._open = lambda url: Failing(sleep_s)  # type: ignore[assignment,return-value]
+        asked = pick(stand)
+        for _ in range(20):
+            assert (await stand.ask())[0] == 200  # nothing waits for a disk
+        seen = sum(len([s for s in d.seen if s[0].startswith("PUT")]) for d in stand.depots)
+        assert seen == 0
+        for _ in range(40):
+            stand.clock.advance(100)
+            await asyncio.sleep(0.005)
+        assert (await asked)[0] in (503, 429, 504) and stand.counters["record.failed"] >= 1
+        assert sum(len([s for s in d.seen if s[0].startswith("PUT")]) for d in stand.depots) == 0
+        record._waiting = MOST_WAITING
+        assert await record.note("7e") is False and stand.counters["record.full"] == 1
+
+
+@pytest.mark.parametrize(("text", "named"), [
+    ("store = 'sqlite:///x'\nodd = 1", "odd"), ("store = ''", "store"),
+    ("store = 'sqlite:///x'\nwait_ms = 0", "wait_ms"),
+    ("store = 'mysql://x'", "store"),
+])
+def test_a_wrong_file_is_refused_by_key(tmp_path: Path, text: str, named: str) -> None:
+    file = tmp_path / "record.toml"
+    file.write_text("enabled = true\n" + text)
+    with pytest.raises(ConfigError, match=named):
+        open_record(file, None, None)  # type: ignore[arg-type]
+    file.write_text("enabled = false\n" + text)
+    assert read_record(file) is None and read_record(tmp_path / "none.toml") is None
+
+
+# Doormans killed at random points ------------------------------------------------------------------------------
+
+
+class Archive(StandDepot):
+    """Notes when each token came; answers after a while, so that kills fall between."""
+
+    def __init__(self, name: str, kind: str, zone: str, met: dict[str, list[float]]) -> None:
+        super().__init__(name, kind=kind, zone=zone)
+        self.met = met
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            while True:
+                _, fields, _ = await read_message(reader)
+                if "X-Op-Key" in fields:
+                    self.met.setdefault(fields["X-Op-Key"], []).append(time.monotonic())
+                    await asyncio.sleep(0.3)
+                writer.write(OK)
+        writer.close()
+
+
+async def play(url: str, folder: Path, seed: int) -> dict[str, list[float]]:
+    """Picks by clients that come again with the same token, to a doorman that is killed at random points."""
+    rng, met = random.Random(seed), dict[str, list[float]]()
+    boxes = [Archive(n, k, z, met) for n, k, z in (("a", "std-box", "edge-1"), ("hub", "parent", "north"),
+                                                   ("archive", "origin", "north"))]
+    settings = copy.deepcopy(SETTINGS)
+    settings["classes"][2] |= {"window": WINDOW_S, "giveUp": 1.0}
+    port = free_port()
+    folder.mkdir(exist_ok=True)
+    (folder / "record.toml").write_text(f"enabled = {'true' if url else 'false'}\nstore = '{url}'\nwait_ms = 500\n")
+    async with listening(*boxes):
+        (folder / "n1.json").write_bytes(orjson.dumps({
+            "name": "n1", "listen": f"127.0.0.1:{port}", "seed": "1", "settings": settings, "known": {
+                "seq": 1, "results": [{"seq": 1, "fleet": {"index": 1, "snapshot": True,
+                                                           "endpoints": [line(d) for d in boxes]}}]}}))
+        env = {n: v for n, v in os.environ.items() if not n.startswith("EDGE_")}
+        env |= {"EDGE_CONFIG": str(folder / "n1.json"), "EDGE_RECORD": str(folder / "record.toml")}
+
+        async def start() -> asyncio.subprocess.Process:
+            process = await asyncio.create_subprocess_exec(sys.executable, "-m", "beechslip", cwd=ROOT, env=env,
+                                                           stderr=asyncio.subprocess.DEVNULL)
+            for _ in range(200):
+                with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                    if (await fetch(port, "/health"))[0] == 200:
+                        break
+                await asyncio.sleep(0.05)
+            return process
+
+        async def client(token: str, after_s: float) -> None:
+            await asyncio.sleep(after_s)
+            for _ in range(6):
+                with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+                    status, _, _ = await asyncio.wait_for(fetch(port, "/rpc/pick-submit/9c", "PUT", b"pick",
+                                                                wait_ms=1000, Req_Token=token), 1.5)
+                    if status == 200:
+                        return
+                await asyncio.sleep(0.7)
+        process = await start()
+        clients = [asyncio.create_task(client(f"{seed:08x}{n:024x}", rng.uniform(0.0, 4.0))) for n in range(24)]
+        for _ in range(4):
+            await asyncio.sleep(rng.uniform(0.3, 1.0))
+            process.send_signal(signal.SIGKILL)
+            await process.wait()
+            await asyncio.sleep(rng.uniform(0.0, 0.6))
+            process = await start()
+        await asyncio.gather(*clients)
+        process.send_signal(signal.SIGTERM)
+        await process.wait()
+    return met
+
+
+def late(met: dict[str, list[float]]) -> list[str]:
+    """Tokens that a depot met again after their window (and what a request takes to get there)."""
+    return [token for token, times in met.items() if max(times) - min(times) > WINDOW_S + 0.25]
+
+
+@pytest.mark.parametrize("kind", ["sqlite", "postgresql"])
+def test_no_pick_is_sent_again_outside_its_class_by_a_doorman_that_is_killed(tmp_path: Path, kind: str) -> None:
+    server = PgStand() if kind == "postgresql" else None
+    url = server.url() if server else f"sqlite:///{tmp_path}/sent.db"
+    plays = [asyncio.run(play(url, tmp_path / f"{seed}", seed)) for seed in (1, 2)]
+    if server:
+        server.close()
+    assert [late(met) for met in plays] == [[], []] and all(len(met) > 6 for met in plays)
+    assert any(len(times) > 1 for met in plays for times in met.values())  # some were sent again, in their window
+
+
+def test_without_a_record_the_same_play_finds_picks_sent_again(tmp_path: Path) -> None:
+    assert any(late(asyncio.run(play("", tmp_path / f"{seed}", seed))) for seed in (1, 2, 3))
