Tests: a locked store and a place that can't be written

Need: what an agent does while its store is locked was tested nowhere. Measured: nothing is started or ended meanwhile, what runs goes on, and both are done once the lock is gone.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import sqlite3
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -11,7 +12,7 @@
 from beechslip.agent import agent as a
 from beechslip.agent.agent import Agent
 from beechslip.clock import ManualClock
-from beechslip.store import Instance, Store, open_store
+from beechslip.store import Instance, Store, StoreError, open_store, sqlite
 from lab.stand import run, until
 
 
@@ -204,3 +205,26 @@
         s.clock.advance(a.DRAIN_MS)
         await task
         assert [player.signals for player in s.players.started] == [["TERM", "KILL"], ["TERM"]]
+
+
+@run
+async def test_a_store_that_is_locked_stops_what_is_to_be_recorded_and_nothing_that_runs(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sqlite, "BUSY_S", 0.05)
+    async with scene(tmp_path) as s:
+        await s.passes()
+        s.store.add(Instance("n2", "n2.json"))
+        s.store.want("n1", "drained")
+        other = sqlite3.connect(tmp_path / "store.db", isolation_level=None)
+        other.execute("BEGIN IMMEDIATE")
+        await s.passes(3)
+        assert len(s.players.started) == 1 and s.players.started[0].signals == []  # nothing that can't be recorded
+        other.execute("ROLLBACK")
+        other.close()
+        await s.passes(3)
+        assert len(s.players.started) == 2 and s.players.started[0].signals == ["TERM"]
+
+
+def test_a_place_that_can_not_be_written_is_told() -> None:
+    with pytest.raises(StoreError):
+        open_store("sqlite:////sys/store.db")  # a file system without files of ours
