Cold ramp: what a warm store bears is a mean, so the sum over the fleet holds in a burst

Ruled out: rounding up (a process due less than one call draws for it, and its draw does not come again within the window); the share of objects by hash (it follows the load, so a burst passes it). Cause: on_good kept in `bear` the greatest rate of any four seconds. For a process that sees little that is a peak of chance, and the greatest of each, summed over the fleet, let the budget in `allowed` pass everything. Change: by role, what warm stores have served over 16 s, divided by their number; the last mean stays while none is warm.

--- a/aldershed/logic.py
+++ b/aldershed/logic.py
@@ -19,6 +19,8 @@
 # Unknown means cautious: a store that starts lower and warms slower than any that would be left unstated.
 UNKNOWN_COLD_SHARE, UNKNOWN_WARM, UNKNOWN_SPAN, UNKNOWN_MULTIPLE = 0.05, 60.0, 2.0, 1.5
 UNKNOWN_BEAR = 1.0  # transfers at full pace: the least that any store's link carries
+BEAR_SPAN = 16.0  # s: tens of answers of a doorman that sees little, so that their mean is no peak of chance
+SURE = 1.5  # of the half that is spent: by a mean, which over all proxies errs by chance alone, more is
 UNKNOWN_SHARERS = 100  # proxies that send to a store, where their number is not told
 UNKNOWN_PURGE_DONE = 60.0  # s
 MOST_PURGES = 50_000  # beyond this the oldest fold into one limit for all objects: safe, but costs fills
@@ -72,13 +74,13 @@
 
 
 class Tally:
-    """A sum that forgets over MEMORY."""
+    """A sum that forgets over a span."""
 
-    def __init__(self) -> None:
-        self.total, self.at = 0.0, 0.0
+    def __init__(self, span: float = MEMORY) -> None:
+        self.total, self.at, self.span = 0.0, 0.0, span
 
     def read(self, now: float) -> float:
-        return self.total * math.exp((self.at - now) / MEMORY)
+        return self.total * math.exp((self.at - now) / self.span)
 
     def add(self, now: float, amount: float) -> float:
         self.total, self.at = self.read(now) + amount, now
@@ -135,7 +137,7 @@
         self.told = self.told_at = 0.0  # requests held by its last report, over those its link fits
         self.fits = 0.0  # transfers at full pace that its link is seen to carry, where its size is not stated
         self.missing = Lateness()  # overdue answers: those that never came, and those that did
-        self.served, self.good = Tally(), Tally()
+        self.good = Tally()
         self.sent: deque[tuple[float, float]] = deque()  # (time, work) within the last window, while cold
         self.sent_work, self.drawn, self.luck = 0.0, -math.inf, 1.0  # and this window's chance of one more
         self.heal()
@@ -194,7 +196,8 @@
         self.mean_work: dict[str, float] = {}
         self.seen_work: dict[int, float] = {}  # by copy, its quickest answer, where sizes are not told
         self.tardy: dict[str, float] = {}  # by class, what is overdue in multiples of half the aim
-        self.bear = {"cache": 0.0, "parent": 0.0}
+        self.bear, self.began = {"cache": 0.0, "parent": 0.0}, 0.0  # by role, what each warm store bears
+        self.served = {"cache": Tally(BEAR_SPAN), "parent": Tally(BEAR_SPAN)}
         # From parents, which hold half of what they are asked for, and straight from the origin.
         self.fills = {False: Fills(ROOM_CUT), True: Fills(ORIGIN_CUT)}
         self.densities: deque[float] = deque(maxlen=RECENT)  # worth for each second of sending, lately
@@ -207,6 +210,7 @@
 
     def start(self, now: float) -> list[i.Action]:
         """What a fresh instance does before it knows anything."""
+        self.began = now
         return [i.Watch()] if self.set.list_on_request else []
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
@@ -239,8 +243,7 @@
             case i.FirstByte():
                 flight = self.flights.get((event.request, event.attempt))
                 if flight:
-                    flight.streaming = True
-                    flight.cache.heard, flight.cache.overdue = self.now, 0
+                    flight.streaming, flight.cache.heard, flight.cache.overdue = True, self.now, 0
         return self.out
 
     def set_timer(self, delay: float, what: tuple[str, int] | str) -> None:
@@ -311,14 +314,12 @@
         ranked = self.ranked(self.caches, held.key)
         fit = [store for store in ranked if self.fit(store, held)]
         if fit:
-            if not self.admitted(held, fit):
-                return None
             # A full home passes the object on: one hot object can outgrow a cache's link.
-            return next((store for store in fit if self.fullness([store]) < 1.0), fit[0])
+            room = next((store for store in fit if self.fullness([store]) < 1.0), fit[0])
+            return room if self.admitted(held, fit) else None
         # When every cache looks bad the judgement is worth little: keep to the hash, within allowances.
-        if self.set.direct and self.closed(held):
-            return None
-        usable = [s for s in ranked if self.allowed(s, held)]
+        straight = self.set.direct and self.closed(held)
+        usable = [s for s in ranked if not straight and self.allowed(s, held)]
         return min(usable, key=lambda s: (self.gone(s), s in held.avoid), default=None)
 
     def choose_source(self, held: Held) -> Store | None:
@@ -425,7 +426,7 @@
     def allowed(self, store: Store, held: Held) -> bool:
         """Whether a cold store's budget for this window has room for one more attempt.
 
-        Half the multiple that fells a store is spent, the other half covers what was learned wrongly.
+        Half the multiple that fells a store is spent (of a mean: SURE), the rest covers wrong estimates.
         Objects return in a fixed order as the share grows, so that those not yet back keep one home.
         Harm: with nothing learned yet, a cold store idles; its objects are filled once more elsewhere.
         """
@@ -456,7 +457,7 @@
             return self.told.cold[store.name]
         sharers = max(self.set.proxies if parent else self.set.proxies_here, 0) or UNKNOWN_SHARERS
         stated = store.entry.weight / sharers if self.sized and store.entry.weight > 0 else 0.0
-        return stated or max(self.bear["parent" if parent else "cache"], UNKNOWN_BEAR / sharers)
+        return stated or max(self.bear["parent" if parent else "cache"] * SURE, UNKNOWN_BEAR / sharers)
 
     def charge(self, store: Store, work: float) -> None:
         if self.warmth(store) < 1.0:
@@ -520,8 +521,7 @@
         if work:
             self.learn_work(rule, work)
         held = Held(ask, rule, self.now, work or self.class_work(rule))
-        if not work:
-            held.work = self.seen_work.get(held.key, held.work)
+        held.work = work or self.seen_work.get(held.key, held.work)
         self.densities.append(self.density(held))
         self.held[ask.request] = held
         self.retries = min(self.retries + RETRY_EARN, RETRY_BURST)
@@ -741,9 +741,10 @@
         if source is not None and (told or not self.set.tells):  # a hit says nothing of it
             source.good.add(self.now, 1.0)
         for store in filter(None, (cache, source)):
-            rate = store.served.add(self.now, work) / MEMORY
             if store is not self.origin and self.warmth(store) >= 1.0:
-                self.bear[self.role(store)] = max(self.bear[self.role(store)], rate)
+                role, known = self.role(store), max(min(self.now - self.began, BEAR_SPAN), MEMORY)
+                peers = len(self.parents if role == "parent" else self.caches) or 1
+                self.bear[role] = self.served[role].add(self.now, work) / known / peers
         if trial is not None and (trial is cache or told or self.set.tells == "" or trial is self.origin):
             trial.trials -= 1
             if trial.trials <= 0:
@@ -812,9 +813,8 @@
             return
         peers = self.caches if is_cache else [*self.parents, *filter(None, [self.origin])]
         # Over the same time: beside one that was away in a trouble, what went through it would look bad.
-        since = max(source.since, self.now - MEMORY)
         others = [p for p in peers if p is not source and p.entry.state == "ready" and not p.ejected
-                  and p.since <= since]
+                  and p.since <= max(source.since, self.now - MEMORY)]
         bad, good = source.bad.read(self.now), source.good.read(self.now)
         other_bad = sum(p.bad.read(self.now) for p in others)
         other_all = other_bad + sum(p.good.read(self.now) for p in others)
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -223,9 +223,10 @@
 
 def learned(router: Router) -> list[Any]:
     """What the module knows of speed and success."""
-    return [(s.good.total, s.served.total, s.bad.total, s.hard, s.overdue, s.room, s.lateness.late.total,
+    return [(s.good.total, s.bad.total, s.hard, s.overdue, s.room, s.lateness.late.total,
              s.lateness.timely.total) for s in router.stores.values()] + [
-                 router.fills[False].share, router.tardy, router.mean_work, router.bear]
+                 router.fills[False].share, router.tardy, router.mean_work, router.bear,
+                 [tally.total for tally in router.served.values()]]
 
 
 @run
