Endings: what is still owed when a connection, a watch or the program ends is settled

Ruled out, and left as they were: an idle connection closed in the step that reads its request, a request handled after its connection's end, bytes after a whole answer, a reset within one, a full pool. The guards ask the client's connection itself now, right before the first byte. - depots.py, parse.py: a connection reset before its first byte counted as run; a whole answer was thrown away if its attempt was given up in that instant; a 304 that names another copy than the client's was passed on. - changelog.py: a drain told in an event that was asked for again was forgotten until then; what was read when the log moved was dropped; an unforeseen error ended the program; lines ended by CR alone; the wait for a doubtful list went by a constant (now by the settings' drain grace). - doorman.py: SIGTERM before the list was known was not heeded; SIGHUP while loading killed the program, and one before the reader was made moved nothing; each silent connection held up the end by 2 s.

--- a/aldershed/interface.py
+++ b/aldershed/interface.py
@@ -55,6 +55,7 @@
     warm_within: float = 0.0
     fall_multiple: float = 0.0
     fall_span: float = 0.0
+    drain_grace: float = 0.0  # a store that drains gets nothing new from so long after it was told
     parent_cold_share: float = 0.0
     parent_warm_within: float = 0.0
     parent_fall_multiple: float = 0.0
--- a/beechslip/__main__.py
+++ b/beechslip/__main__.py
@@ -1,4 +1,5 @@
 """``python -m beechslip`` runs one doorman; with arguments it is the command line."""
+import signal
 import sys
 
 if len(sys.argv) > 1:
@@ -6,8 +7,11 @@
 
     sys.exit(cli.main())
 
+# Guards against an end by a SIGHUP that comes while the program loads: it waits until the doorman hears it.
+signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
+
 # A serving doorman starts no programs and uses no sendfile: refused here before aiohttp is imported.
-from beechslip.platform.confine import confine
+from beechslip.platform.confine import confine  # noqa: E402
 
 confine()
 
--- a/beechslip/core/engine.py
+++ b/beechslip/core/engine.py
@@ -374,6 +374,9 @@
         source = self._depots.get(order.source)
         if flight.stopped is not None or self._open.get(order.call.id) is not opened:
             return False
+        if opened.answerer.departed:
+            self.counters.add("departed")
+            return False
         if depot is None or depot.state != "ready" or depot.address != order.depot.address:
             return False
         if order.source and (source is None or source.state != "ready"):
@@ -383,7 +386,8 @@
             # A repeat of what may have run: only where, and while, all stores discard it.
             if rule.effect != "keyed" or rule.group != "all":
                 return False
-            return now < opened.risk_ms + to_ms(rule.window) - WINDOW_MARGIN_MS
+            if now >= opened.risk_ms + to_ms(rule.window) - WINDOW_MARGIN_MS:
+                return False
         return now < opened.deadline_ms
 
     async def _fly(self, opened: Open, flight: Flight) -> None:
--- a/beechslip/core/model.py
+++ b/beechslip/core/model.py
@@ -177,6 +177,14 @@
 
     def answer(self, final: Final) -> None: ...
 
+    @property
+    def departed(self) -> bool:
+        """Whether its client is known to have gone: nothing is owed, and nothing more may be sent for it.
+
+        Known here before ``ClientLeft`` has come through the queue.
+        """
+        ...
+
 
 # Messages to the engine ---------------------------------------------------------------------------
 
--- a/beechslip/dns/front.py
+++ b/beechslip/dns/front.py
@@ -48,7 +48,7 @@
             answer = m.hand_out(self._query, self._question, order.depot.address)
         except ValueError:
             return Ended("connect_failed")  # a box without an IPv4 address can't be reached this way
-        if self.answered or not may_start():
+        if not may_start():  # no, too, if the asker has left
             return Ended("moot")
         self._write(answer)
         return Ended("handed_out", hold_ms=self._hold_ms)
@@ -62,6 +62,10 @@
             text = TEXTS[final.cause]
         self._write(m.response(self._query, dns.rcode.SERVFAIL, why=dns.edns.EDECode.OTHER, text=text))
 
+    @property
+    def departed(self) -> bool:
+        return self.answered
+
     def abandon(self) -> None:
         """The asker has left: nothing is owed, and nothing may be handed out."""
         if not self.answered:
--- a/beechslip/doorman.py
+++ b/beechslip/doorman.py
@@ -8,9 +8,9 @@
 import os
 import signal
 import sys
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from aldershed.interface import Settings
 from aldershed.logic import Router
@@ -175,10 +175,18 @@
             for one in news:
                 engine.post(one)
             if config.changelog is not None:
-                self._reader = ChangeLog(config.changelog, last, engine.post, self.counters, news)
+                # SIGHUP may have named another one by now.
+                address, settings = self.config.changelog or config.changelog, self._settings
+                self._reader = ChangeLog(address, last, engine.post, self.counters, news, settings.drain_grace)
+                self._tuned.append(self._reader.retune)
                 tasks.append(asyncio.create_task(self._reader.run()))
             # The list is known before /health answers, or the first requests would find no depot.
-            await engine.listed.wait()
+            listed = asyncio.create_task(engine.listed.wait())
+            await self._serve([*tasks, listed])
+            if self.stopping.is_set():
+                listed.cancel()
+                log.info("%s, process %d, is told to end before it serves", config.name, os.getpid())
+                return
             if peering is not None and peering.budgets is not None:
                 await peering.budgets.ready()
             await front.start(config.listen, config.fd)
@@ -186,11 +194,13 @@
             log.info("%s, process %d, listens on %s; %d doormans, longest deadline %g s", config.name, os.getpid(),
                      config.listen, settings.proxies, longest_s)
             await self._serve(tasks)
+            log.info("%s, process %d, is told to end", config.name, os.getpid())
             if config.fd is not None:
                 front.hand_over()
             await asyncio.sleep(LINGER_S)
             front.drain()
             await engine.quiet.wait()
+            await front.settle()
             log.info("%s, process %d, has answered all that it took, and ends", config.name, os.getpid())
         finally:
             await front.close()
@@ -207,7 +217,7 @@
                 record.close()
             log.info("%s", self.counters.line())
 
-    async def _serve(self, tasks: list[asyncio.Task[None]]) -> None:
+    async def _serve(self, tasks: Sequence[asyncio.Task[Any]]) -> None:
         """Until told to stop; a part that ends by itself is a fault of the program."""
         stop = asyncio.create_task(self.stopping.wait())
         done, _ = await asyncio.wait([stop, *tasks], return_when=asyncio.FIRST_COMPLETED)
@@ -234,6 +244,7 @@
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, doorman.stopping.set)
     loop.add_signal_handler(signal.SIGHUP, doorman.reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])  # what came since the start is heard now
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("%s", doorman.counters.line()))
     await doorman.run()
 
--- a/beechslip/platform/changelog.py
+++ b/beechslip/platform/changelog.py
@@ -5,9 +5,11 @@
 import contextlib
 import logging
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 import aiohttp
 
+from aldershed.interface import Settings
 from beechslip.config import Address
 from beechslip.core.model import Listing, Purged
 from beechslip.counters import Counters
@@ -19,15 +21,19 @@
 SILENCE_S = 1.8  # a comment comes each second; what a stopped log would tell counts as told after 4 s
 AGAIN_S = 0.1
 DIAL_S = 0.8
-BELIEVED_S = 0.3  # a doubtful list is taken by then, whatever comes: a drain binds 500 ms after it is told
+BELIEVED = 0.6  # of the grace of a drain: a doubtful list is taken by then, whatever comes
+GRACE_S = 0.5  # where the settings don't say
 
 
 class ChangeLog:
-    """Follows the change log from a number on and posts what it tells. Each event is told once, in order."""
+    """Follows the change log from a number on and posts what it tells. Each event is told once, in order; the drains
+    of one that is asked for again also at once, as they bind from the first telling on."""
 
     def __init__(self, address: Address, last: int, post: Callable[[Listing | Purged], None],
-                 counters: Counters, known: Iterable[Listing | Purged] = ()) -> None:
+                 counters: Counters, known: Iterable[Listing | Purged] = (), grace_s: float = 0.0) -> None:
         self.last, self._post, self._counters = last, post, counters
+        self.grace_s = grace_s  # after which a drain binds; 0: not told
+        self._early: dict[str, int] = {}  # depots out of service by an event still to be taken, with its number
         self._roster = Roster()
         self._believing: asyncio.TimerHandle | None = None
         for one in known:
@@ -42,6 +48,9 @@
             self._address = address
             self._moved.set()
 
+    def retune(self, settings: Settings) -> None:
+        self.grace_s = settings.drain_grace
+
     async def run(self) -> None:
         try:
             await self._run()
@@ -64,6 +73,10 @@
                         follow.result()
                 except (aiohttp.ClientError, OSError, TimeoutError, BadEvent) as error:
                     log.info("change log: %r", error)
+                except Exception:
+                    # Guards against a doorman that ends of one answer that nobody has thought of.
+                    self._counters.add("fault.changelog")
+                    log.exception("change log")
                 finally:
                     for task in (follow, moved):
                         task.cancel()
@@ -80,9 +93,16 @@
         async with session.get(url, headers=headers, allow_redirects=False) as response:
             if response.status != 200:
                 raise BadEvent(f"status {response.status}")
-            async for chunk in response.content.iter_any():
-                for event in parser.feed(chunk):
-                    self._read(event)
+            try:
+                async for chunk in response.content.iter_any():
+                    for event in parser.feed(chunk):
+                        self._read(event)
+            except asyncio.CancelledError:
+                # What had come when the log moved counts as told.
+                with contextlib.suppress(Exception):
+                    for event in parser.feed(response.content.read_nowait()):
+                        self._read(event)
+                raise
 
     def _read(self, event: Event) -> None:
         """Take one event as it came. What can't be read is asked for once more, then passed over.
@@ -101,13 +121,27 @@
                 self.last = max(self.last, int(event.id))
             return
         if seq > self.last + 1 and not self._asked_again():
+            self._bind(seq, news)
             raise BadEvent(f"{seq} follows {self.last}")
         if seq > self.last and self._roster.doubtful(news) and not self._asked_again():
             self._counters.add("changelog.doubtful")
-            self._believing = asyncio.get_running_loop().call_later(BELIEVED_S, self.take, seq, news)
+            self._bind(seq, news)
+            wait_s = BELIEVED * (self.grace_s or GRACE_S)
+            self._believing = asyncio.get_running_loop().call_later(wait_s, self.take, seq, news)
             raise BadEvent(f"{seq} leaves out most depots")
         self.take(seq, news)
 
+    def _bind(self, seq: int, news: list[Listing | Purged]) -> None:
+        """Post the drains of an event that is asked for once more.
+
+        Guards against a log that ends right then: the drains that it has told bind all the same.
+        """
+        for one in news:
+            ending = () if isinstance(one, Purged) else tuple(d for d in one.depots if d.state != "ready")
+            if ending:
+                self._early |= {depot.name: seq for depot in ending}
+                self._post(Listing("changes", ending))
+
     def _asked_again(self) -> bool:
         """Whether what follows the last number was asked for a second time; if not, it is about to be."""
         again, self._doubted = self._doubted == self.last + 1, self.last + 1
@@ -118,7 +152,12 @@
         if seq <= self.last:
             return
         self.last = seq
+        self._early = {name: number for name, number in self._early.items() if number > seq}
         for one in news:
+            if isinstance(one, Listing) and self._early:
+                one = Listing(one.kind, tuple(
+                    replace(depot, state="draining") if depot.state == "ready" and depot.name in self._early
+                    else depot for depot in one.depots))
             self._note(one)
             self._post(one)
 
--- a/beechslip/platform/depots.py
+++ b/beechslip/platform/depots.py
@@ -58,14 +58,19 @@
             link = await self._pool.take((depot.name, depot.address))
         except (OSError, ConfigError):  # a refusal, or no connection in time: nothing ran
             return Ended("connect_failed")
+        if not link.open:  # reset between its dial's end and this task's step: nothing was written
+            return Ended("connect_failed")
         if not may_start():
             self._pool.give_back(link)
             return Ended("moot")
+        answer = link.ask(message, MOST_ANSWER)
         try:
-            told = await link.ask(message, MOST_ANSWER)
+            told = await answer
         except BaseException as error:
-            link.end()
-            return self._broken(depot, error)
+            if not isinstance(error, asyncio.CancelledError) or answer.cancelled() or answer.exception() is not None:
+                link.end()
+                return self._broken(depot, error)
+            told = answer.result()  # given up in the instant in which its whole answer was in
         twice = self._is_copy(link, message, told)
         self._pool.give_back(link)
         if twice:
--- a/beechslip/platform/front.py
+++ b/beechslip/platform/front.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -18,6 +19,7 @@
 
 SWEEP_MS = 250.0
 CLOSE_S = 2.0  # for an answer that is being written when the front closes
+SETTLE_S = 2.4  # for a request that is being read at the drain: no sweep lets one take longer
 BACKLOG = 512  # connections that may wait in the kernel
 ACCEPTED = 8  # and of these are taken at once: more would outrun the bound on descriptors
 # Sent away, clients keep coming on new connections for 0.3 s: the platform asks /health every 0.1 s and goes
@@ -29,13 +31,18 @@
 class HttpAnswerer:
     """Waits for the final answer to one request."""
 
-    def __init__(self) -> None:
+    def __init__(self, connection: Connection) -> None:
+        self._connection = connection
         self.final: asyncio.Future[Final] = asyncio.get_running_loop().create_future()
 
     def answer(self, final: Final) -> None:
         if not self.final.done():
             self.final.set_result(final)
 
+    @property
+    def departed(self) -> bool:
+        return self._connection.departed
+
 
 def to_response(final: Final) -> web.Response:
     """The wire form of a final answer."""
@@ -127,12 +134,24 @@
             self._listener.close()
         self._server.end_idle()
 
+    async def settle(self) -> None:
+        """Until nothing that came before the drain is owed: answers, which all have their time, and for a while
+        requests that are half read and answers that are partly sent."""
+        await self._server.settle(lambda one: one.owed)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_S):
+                await self._server.settle(lambda one: one.unsettled)
+
     async def close(self) -> None:
         if self._sweeping is not None:
             self._sweeping.cancel()
         if self._listener is not None:
             self._listener.close()
+        self._server.end_idle(silent=True)  # aiohttp would wait for each as for one with a request
         await self._server.shutdown(CLOSE_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_S):
+                await self._server.settle(lambda one: one.unsent)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection: Any = request.protocol
@@ -140,7 +159,8 @@
             response = await self._answer(request, connection)
         finally:
             connection.answered()
-        if self._parting or self._away_for() >= SENT_ON_MS:
+        # What its client has sent behind the request is owed an answer too, before the connection ends.
+        if (self._parting or self._draining or self._away_for() >= SENT_ON_MS) and not connection.more:
             response.force_close()
         return response
 
@@ -158,17 +178,16 @@
                 # What is wrong with the head is told before the body is read.
                 parse_call(request.method, request.raw_path, request.headers, b"", 0.0, self._settings)
                 body = await self._body(request)
+            connection.taken(body=request.body_exists)
             # The client's time runs from its last byte, not from when this task got to it.
-            call = parse_call(request.method, request.raw_path, request.headers, body, connection.read_ms,
+            call = parse_call(request.method, request.raw_path, request.headers, body, connection.arrived_ms,
                               self._settings)
         except BadRequest as error:
             return self._server.turn_down(error)
-        if self._draining or self._away_for() >= LAST_TAKEN_MS:
-            response = to_response(Final("refused"))
-            response.force_close()
-            return response
-        connection.answering = True
-        answerer = HttpAnswerer()
+        if self._draining or self._away_for() >= LAST_TAKEN_MS or connection.departed or request.transport is None:
+            # Read after the end of its connection, nobody awaits its answer: sent on, it would only run in vain.
+            return to_response(Final("refused"))
+        answerer = HttpAnswerer(connection)
         self._post(Taken(call, self._carrier, answerer))
         try:
             return to_response(await answerer.final)
--- a/beechslip/platform/parse.py
+++ b/beechslip/platform/parse.py
@@ -1,6 +1,7 @@
 """The platform's messages as pure functions: bytes and headers in, the core's types out."""
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -37,6 +38,7 @@
 _WHOLE = re.compile(r"[0-9]{1,9}\Z")
 _TOKEN = re.compile(r"[!-~]{1,128}\Z")
 _MARK, _STAMP = re.compile(r"[!#-~]{1,256}\Z"), re.compile(r"[0-9]{1,15}\Z")
+_LINE_END = re.compile(rb"\r\n|\n|\r")
 _TAG = re.compile(r'(?:W/)?"([!#-~]{0,256})"\Z')
 
 
@@ -163,13 +165,15 @@
     note = note if note in TOLD.get(tells, frozenset()) else ""
     unrun = fields.get("x-declined") == "1"
     tag = fields.get("x-digest", "")
-    if status == 200 or (status == 304 and asked_tag):
+    if status == 200 or (status == 304 and asked_tag and not write):
         # What a copy must say of itself. Writes leave none, so their answers need say nothing.
         if not write and not (_MARK.match(tag) and _STAMP.match(fields.get("x-stamp", ""))):
             return Ended("spoilt")
         if status == 200:
             return Ended("ok", note, report, Payload(body, tag))
-        return Ended("ok", note, report, Payload(b"", tag or asked_tag, same=True))
+        if tag != asked_tag:  # it names another copy than the client holds
+            return Ended("spoilt")
+        return Ended("ok", note, report, Payload(b"", tag, same=True))
     if status == 404:
         return Ended("miss", note, report)
     if status == 503 and unrun:
@@ -191,19 +195,28 @@
 
 
 class EventParser:
-    """Server-sent events from bytes as they come; comments give nothing but are counted."""
+    """Server-sent events from bytes as they come, in all the forms of the standard (lines end by LF, CR or both);
+    comments give nothing but are counted."""
 
     def __init__(self) -> None:
         self._rest, self._id, self._data = b"", "", list[str]()
         self._size = self.comments = 0
+        self._began = self._after_cr = False
 
     def feed(self, chunk: bytes) -> list[Event]:
-        *lines, self._rest = (self._rest + chunk).split(b"\n")
+        if not chunk:
+            return []
+        if self._after_cr and chunk.startswith(b"\n"):  # the other half of a line's end
+            chunk = chunk[1:]
+        self._after_cr = chunk.endswith(b"\r")
+        *lines, self._rest = _LINE_END.split(self._rest + chunk)
         if len(self._rest) > MOST_EVENT:
             raise BadEvent("a line that does not end")
         events = []
         for raw in lines:
-            line = raw.rstrip(b"\r").decode("utf-8", "replace")
+            if not self._began:
+                self._began, raw = True, raw.removeprefix(b"\xef\xbb\xbf")
+            line = raw.decode("utf-8", "replace")
             if not line:
                 if self._data:
                     events.append(Event(self._id, "\n".join(self._data)))
@@ -225,7 +238,7 @@
 
 def _number(entry: Mapping[str, Any], name: str) -> float:
     value = entry.get(name, 0)
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
         raise BadEvent(f"{name} is no number")
     return float(value)
 
--- a/beechslip/platform/server.py
+++ b/beechslip/platform/server.py
@@ -3,7 +3,9 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from aiohttp import web
 
@@ -17,13 +19,16 @@
 READ_MS = 2_200.0  # from connecting, or from a later request's first byte, until the request is whole
 IDLE_MS = 5_000.0  # after an answer; clients close after 4 s, and some keep their connection for good
 KEEPALIVE_S = 86_400.0  # aiohttp's own timer is of no use here: the sweep ends idle connections
+UNPARSED = 65_536  # bytes of commands beyond aiohttp's queue that a client may send ahead
+END = b"\r\n\r\n"  # of a request without a body
 LOGGED = 10  # lines a second about bad requests: in a flood each would cost CPU that the others need
 
 
 class Connection(web.RequestHandler):
     """A client's connection, with what the bound and the time limits go by."""
 
-    __slots__ = ("answering", "house", "partial", "read_ms", "since_ms")
+    __slots__ = ("_ahead", "_begun", "_stamps", "_tail", "answering", "arrived_ms", "departed", "house", "in_hand",
+                 "partial", "read_ms", "since_ms", "wire")
 
     house: BoundedServer
 
@@ -31,27 +36,110 @@
         self.house = house
         self.since_ms = self.read_ms = house.clock.now_ms()  # since when it has been as it is; its last bytes
         self.partial, self.answering = True, False  # a new one owes a request
+        self.wire: asyncio.Transport | None = None  # also while it is being closed, unlike aiohttp's own
+        self.departed = False  # its client has closed or reset it
+        self.in_hand: Any = None  # the body of the request that aiohttp has in hand
+        self.arrived_ms = self.read_ms  # when the head of the request in hand was whole
+        self._stamps = deque[float]()  # the same of those that queue behind it
+        self._begun = False  # bytes have come that no answer has settled
+        self._tail = END  # the last bytes: whether they end a request
+        self._ahead = 0  # bytes read while aiohttp's queue of requests was full
         return self
 
+    @property
+    def owed(self) -> bool:
+        """Whether a request has been read whole and awaits its answer.
+
+        Guards against a close in the instant between a request's last byte and its handler's first step: the client
+        has sent it to a connection that stood.
+        """
+        whole = self.in_hand is not None and self.in_hand.is_eof()
+        return self.answering or whole or any(payload.is_eof() for _, payload in self._messages)
+
+    @property
+    def half_read(self) -> bool:
+        return self.partial and self._begun and not self.owed
+
+    @property
+    def more(self) -> bool:
+        """Whether the client has sent more behind the request that is being answered."""
+        return bool(self._messages) or self._tail != END
+
+    @property
+    def unsent(self) -> bool:
+        return self.wire is not None and self.wire.get_write_buffer_size() > 0
+
+    @property
+    def unsettled(self) -> bool:
+        return self.owed or self.half_read or self.unsent
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        self.wire = self.transport
         self.house.make_room(self)
 
     def data_received(self, data: bytes) -> None:
-        self.read_ms = self.house.clock.now_ms()
-        if not self.partial and not self.answering:
-            self.partial, self.since_ms = True, self.read_ms
-            self.house.changed(self)
+        if data:  # aiohttp gives itself none, to go on with what it has
+            self.read_ms, self._begun = self.house.clock.now_ms(), True
+            self._tail = (self._tail + data[-4:])[-4:]
+            if not self.partial and not self.answering:
+                self.partial, self.since_ms = True, self.read_ms
+                self.house.changed(self)
+            if self._buffer_paused:
+                self._ahead += len(data)
+                if self._ahead > UNPARSED:
+                    super()._pause_transport_reading()
+        queued = len(self._messages)
         super().data_received(data)
+        self._stamps.extend([self.read_ms] * (len(self._messages) - queued))
+
+    def next_in_hand(self, body: Any) -> None:
+        """aiohttp takes the next request from its queue."""
+        self.in_hand = body
+        self.arrived_ms = self._stamps.popleft() if self._stamps else self.read_ms
+
+    def taken(self, *, body: bool) -> None:
+        """The request in hand has been read whole, and is being answered."""
+        self.answering = True
+        if body:  # where it ended is not known here; what follows it shows by bytes of its own
+            self.arrived_ms, self._tail = self.read_ms, END
+
+    def _pause_transport_reading(self) -> None:
+        """Read on when aiohttp's queue of requests is full, within a bound.
+
+        Guards against a client that sends many commands at once and goes: of a transport that is not read nobody
+        hears the end, and all that had queued would be sent on for a client that is no longer there.
+        """
+        if not self._buffer_paused or self._reading_paused:
+            super()._pause_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        self._ahead = 0
+        super()._resume_transport_reading()
+
+    def eof_received(self) -> None:
+        """Its client has gone: told at once, as an earlier answer that is still being sent delays the end."""
+        self.departed = True
+        super().eof_received()
+        if self._task_handler is not None:
+            self._task_handler.cancel()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self.departed, self.wire = True, None
+        super().connection_lost(exc)
+        self.house.ended(self)
 
     def answered(self) -> None:
-        """A request on it has its answer."""
-        self.partial = self.answering = False
+        """A request on it has its answer; what has come behind it is the next one's beginning."""
+        self.answering, self.in_hand = False, None
+        self.partial = self._begun = self.more
         self.since_ms = self.house.clock.now_ms()
         self.house.changed(self)
+        self.house.settled.set()
 
     def handle_error(self, request: web.BaseRequest, status: int = 500, exc: BaseException | None = None,
                      message: str | None = None) -> web.StreamResponse:
+        self.in_hand = None  # the connection ends with this answer
         if status >= 500:
             self.house.counters.add("fault.front")
             return super().handle_error(request, status, exc, message)
@@ -68,6 +156,8 @@
         super().__init__(handler, handler_cancellation=True)
         self.clock, self.counters, self._most, self._read_ms = clock, counters, most, read_ms
         self._open: dict[Connection, None] = {}  # by since_ms, the longest as they are first
+        self._ending: set[Connection] = set()  # closed here, perhaps with an answer still to be sent
+        self.settled = asyncio.Event()
         self._logged_ms, self._logged = 0.0, 0
 
     def __call__(self) -> web.RequestHandler:
@@ -76,19 +166,28 @@
         return Connection(self, loop=self._loop, access_log=None,  # type: ignore[arg-type]
                            keepalive_timeout=KEEPALIVE_S, lingering_time=0.0).settle(self)
 
-    def connection_lost(self, handler: web.RequestHandler, exc: BaseException | None = None) -> None:
-        self._open.pop(handler, None)  # type: ignore[call-overload]
-        super().connection_lost(handler, exc)
+    def _make_request(self, message: Any, payload: Any, protocol: Any, *how: Any) -> web.BaseRequest:
+        protocol.next_in_hand(payload)
+        return super()._make_request(message, payload, protocol, *how)
+
+    def ended(self, one: Connection) -> None:
+        """A connection's descriptor is given back."""
+        self._open.pop(one, None)
+        self._ending.discard(one)
+        self.settled.set()
 
     def make_room(self, new: Connection) -> None:
         """Count a new connection; over the bound the longest idle one goes, never one with an open request.
 
-        Guards against clients that keep a connection for good: without descriptors nobody else gets in.
+        Guards against clients that keep a connection for good: without descriptors nobody else gets in. One that
+        has sent part of a request goes only where none is idle, and one with an answer half sent after it.
         """
         self._open[new] = None
         if len(self._open) <= self._most:
             return
-        self._end(next((one for one in self._open if not one.answering), new), "closed.room")
+        free = [one for one in self._open if not one.owed]
+        idle = next((one for one in free if not one.half_read and not one.unsent), None)
+        self._end(idle or next(iter(free), new), "closed.room")
 
     def changed(self, one: Connection) -> None:
         """It is idle, or partway through a request, from now on."""
@@ -100,17 +199,32 @@
         """End connections that have been idle, silent or partway through a request for too long."""
         now = self.clock.now_ms()
         for one in list(self._open):
-            if not one.answering and now - one.since_ms > (self._read_ms if one.partial else IDLE_MS):
-                self._end(one, "closed.partial" if one.partial else "closed.idle")
-
-    def end_idle(self) -> None:
+            # Whoever does not read its answer will read none of those that it has asked for behind it.
+            unread = one.unsent and not one.answering
+            partial = one.partial and not unread
+            if (unread or not one.owed) and now - one.since_ms > (self._read_ms if partial else IDLE_MS):
+                self._end(one, "closed.partial" if partial else "closed.idle")
+        self.settled.set()
+
+    def end_idle(self, *, silent: bool = False) -> None:
+        """End connections that rest; ``silent``: also those that have not sent a byte yet."""
         for one in list(self._open):
-            if not one.answering and not one.partial:
-                self._end(one, "closed.idle")
+            if not one.owed and not (one.half_read if silent else one.partial):
+                self._end(one, "closed.idle", patient=True)
+
+    async def settle(self, owes: Callable[[Connection], bool]) -> None:
+        """Until no connection owes anything of this kind. The sweep looks again, and ends what stands still."""
+        while any(owes(one) for one in [*self._open, *self._ending]):
+            self.settled.clear()
+            await self.settled.wait()
 
-    def _end(self, one: Connection, count: str) -> None:
+    def _end(self, one: Connection, count: str, *, patient: bool = False) -> None:
         self.counters.add(count)
         del self._open[one]
+        if one.wire is not None and one.unsent and not patient:
+            # Guards against clients that read no answer: closed, their connection would stay until they do.
+            one.wire.abort()
+        self._ending.add(one)
         one.force_close()
 
     def turn_down(self, bad: BadRequest) -> web.Response:
--- a/lab/stand.py
+++ b/lab/stand.py
@@ -167,16 +167,31 @@
         self.queue: asyncio.Queue[bytes] = asyncio.Queue()
         self.asked: list[str] = []
         self.address = ""
+        self.down, self.turned_away = False, 0
+
+    def stop(self) -> None:
+        """End the streams, and every one that comes, until it resumes."""
+        self.down = True
+
+    def resume(self) -> None:
+        self.down = False
 
     def tell(self, seq: int, **news: Any) -> None:
         self.queue.put_nowait(b"id: %d\ndata: %s\n\n" % (seq, json.dumps({"seq": seq, **news}).encode()))
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # A stream server reports a cancelled handler as an error: it ends quietly instead.
+        if self.down:
+            self.turned_away += 1
+            writer.transport.abort()
+            return
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             self.asked.append((await read_message(reader))[1]["Last-Event-ID"])
             writer.write(HEAD)
             while not writer.is_closing():
+                if self.down:
+                    writer.transport.abort()
+                    return
                 try:
                     writer.write(await asyncio.wait_for(self.queue.get(), 0.2))
                 except TimeoutError:
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -345,6 +345,17 @@
         assert len(stand.front._pending) == 1 and not answers
 
 
+@run
+async def test_no_box_is_handed_out_to_an_asker_that_has_left_though_the_engine_has_not_heard_of_it() -> None:
+    async with DnsStand() as stand:
+        wire, answers = dns.message.make_query(f"a.waveform.{ZONE}", "A", id=7).to_wire(), list[bytes]()
+        posted = stand.front.take(wire, answers.append, "peer", udp=False)
+        assert posted is not None
+        posted[1].abandon()
+        await until(lambda: stand.counters["departed"])
+        assert not answers and not stand.front._pending
+
+
 HEAD = struct.pack(">HHHHHH", 7, 0x0100, 1, 0, 0, 0)
 QUESTION = b"\x01a\x08waveform\x05feeds\x06caroni\x07example\x00\x00\x01\x00\x01"
 
