--- a/beechslip/platform/server.py
+++ b/beechslip/platform/server.py
@@ -207,9 +207,9 @@
         self.settled.set()
 
     def end_idle(self, *, silent: bool = False) -> None:
-        """End connections that rest; ``silent``: also those that have not sent a byte yet."""
+        """End connections that rest; ``silent``: also those that have not sent a request, or only part of one."""
         for one in list(self._open):
-            if not one.owed and not (one.half_read if silent else one.partial):
+            if not one.owed and (silent or not one.partial):
                 self._end(one, "closed.idle", patient=True)
 
     async def settle(self, owes: Callable[[Connection], bool]) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -10,6 +10,7 @@
 import os
 import resource
 import signal
+import tomllib
 from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 from pathlib import Path
@@ -47,7 +48,7 @@
     run,
     until,
 )
-from tests.test_program import program
+from tests.test_program import ROOT, program
 from tests.test_rules import ERROR, Plan, TellingLog
 
 
@@ -584,6 +585,24 @@
         assert code == 0 and "reloads=1" in said
 
 
+@run
+async def test_sighup_while_the_interpreter_starts_does_not_end_the_command_that_runs_in_service(
+        tmp_path: Path) -> None:
+    gate = tmp_path / "gate"
+    os.mkfifo(gate)
+    (tmp_path / "sitecustomize.py").write_text(f"open({str(gate)!r}).read()\n")
+    command_line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    async with program(tmp_path) as one:
+        env = one.env | {"EDGE_CONFIG": str(one.write_config()), "PYTHONPATH": str(tmp_path)}
+        one.process = await asyncio.create_subprocess_exec(
+            "sh", "-c", command_line, cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
+        held = await asyncio.get_running_loop().run_in_executor(None, os.open, gate, os.O_WRONLY)
+        one.process.send_signal(signal.SIGHUP)
+        os.close(held)
+        await one.ready()
+        assert (await one.end())[0] == 0
+
+
 @run
 async def test_clients_that_come_again_are_served_by_the_process_after_a_sigkill(tmp_path: Path) -> None:
     async with program(tmp_path) as one:
