Cold ramp: by the greatest mean, as the present one left stores that come back too idle

Change: `bear` keeps the greatest of those means. SURE is 1.75: of the multiple, seven eighths by that mean; an eighth and the rule's own 2 x root of N + 2 are left for chance.

--- a/aldershed/logic.py
+++ b/aldershed/logic.py
@@ -20,7 +20,7 @@
 UNKNOWN_COLD_SHARE, UNKNOWN_WARM, UNKNOWN_SPAN, UNKNOWN_MULTIPLE = 0.05, 60.0, 2.0, 1.5
 UNKNOWN_BEAR = 1.0  # transfers at full pace: the least that any store's link carries
 BEAR_SPAN = 16.0  # s: tens of answers of a doorman that sees little, so that their mean is no peak of chance
-SURE = 1.5  # of the half that is spent: by a mean, which over all proxies errs by chance alone, more is
+SURE = 1.75  # of the half that is spent: by a mean, which over all proxies errs by chance alone, more is
 UNKNOWN_SHARERS = 100  # proxies that send to a store, where their number is not told
 UNKNOWN_PURGE_DONE = 60.0  # s
 MOST_PURGES = 50_000  # beyond this the oldest fold into one limit for all objects: safe, but costs fills
@@ -196,7 +196,7 @@
         self.mean_work: dict[str, float] = {}
         self.seen_work: dict[int, float] = {}  # by copy, its quickest answer, where sizes are not told
         self.tardy: dict[str, float] = {}  # by class, what is overdue in multiples of half the aim
-        self.bear, self.began = {"cache": 0.0, "parent": 0.0}, 0.0  # by role, what each warm store bears
+        self.bear, self.began = {"cache": 0.0, "parent": 0.0}, 0.0  # by role, the most that warm stores bore
         self.served = {"cache": Tally(BEAR_SPAN), "parent": Tally(BEAR_SPAN)}
         # From parents, which hold half of what they are asked for, and straight from the origin.
         self.fills = {False: Fills(ROOM_CUT), True: Fills(ORIGIN_CUT)}
@@ -744,7 +744,7 @@
             if store is not self.origin and self.warmth(store) >= 1.0:
                 role, known = self.role(store), max(min(self.now - self.began, BEAR_SPAN), MEMORY)
                 peers = len(self.parents if role == "parent" else self.caches) or 1
-                self.bear[role] = self.served[role].add(self.now, work) / known / peers
+                self.bear[role] = max(self.served[role].add(self.now, work) / known / peers, self.bear[role])
         if trial is not None and (trial is cache or told or self.set.tells == "" or trial is self.origin):
             trial.trials -= 1
             if trial.trials <= 0:
