Failing first: clock steps, failing accepts and late connections on real processes

EPROTO, which accept(2) documents too, is worse than the four known ones: it is logged with a traceback in a busy loop, until the log's pipe is full and the doorman stands still.

--- /dev/null
+++ b/lab/faults/sitecustomize.py
@@ -0,0 +1,91 @@
+"""Faults of the system, played on a program under test.
+
+The interpreter imports this file at its start where ``PYTHONPATH`` names this folder. ``LAB_FAULTS`` names a JSON file
+with the faults that hold from now on; SIGUSR2 makes the program read it again. Keys, all optional:
+
+- ``clock_ms``: by how much the wall clock has been stepped (the monotonic clocks run on);
+- ``accept``, ``connect``, ``socket``, ``recv``, ``send``, ``open``: ``{"errno": NAME, "for_ms": SPAN}``, the call fails
+  so for that span from the moment the file is read;
+- ``connect_ms``: connections come up so much later;
+- ``short``: reads and writes carry this many bytes at most.
+"""
+from __future__ import annotations
+
+import asyncio.selector_events
+import builtins
+import errno
+import json
+import os
+import signal
+import socket
+import time
+from typing import Any
+
+_faults: dict[str, Any] = {}
+_read_at = time.monotonic()
+
+
+def _read(*_: object) -> None:
+    global _read_at
+    with _open(os.environ["LAB_FAULTS"]) as file:
+        told = json.load(file)
+    _faults.clear()
+    _faults.update(told)
+    _read_at = time.monotonic()
+
+
+def _fail(call: str) -> None:
+    fault = _faults.get(call)
+    if fault and (time.monotonic() - _read_at) * 1000.0 < fault["for_ms"]:
+        code = getattr(errno, fault["errno"])
+        raise OSError(code, os.strerror(code))
+
+
+def _failing(call: str, original: Any) -> Any:
+    def played(*given: Any, **named: Any) -> Any:
+        _fail(call)
+        return original(*given, **named)
+    return played
+
+
+def _shift_s() -> float:
+    return float(_faults.get("clock_ms", 0.0)) / 1000.0
+
+
+_open, _time, _gettime = builtins.open, time.time, time.clock_gettime
+_recv, _send = socket.socket.recv, socket.socket.send
+_sock_connect = asyncio.selector_events.BaseSelectorEventLoop.sock_connect
+
+
+def _played_recv(sock: Any, size: int, *flags: int) -> bytes:
+    _fail("recv")
+    return _recv(sock, min(size, _faults.get("short", size)), *flags)
+
+
+def _played_send(sock: Any, data: Any, *flags: int) -> int:
+    _fail("send")
+    return _send(sock, memoryview(data)[:_faults.get("short", len(data))], *flags)
+
+
+async def _played_sock_connect(loop: Any, sock: Any, address: Any) -> None:
+    await _sock_connect(loop, sock, address)
+    await asyncio.sleep(_faults.get("connect_ms", 0.0) / 1000.0)
+
+
+def _play() -> None:
+    builtins.open = _failing("open", _open)
+    time.time = lambda: _time() + _shift_s()
+    time.clock_gettime = lambda clock: _gettime(clock) + (_shift_s() if clock == time.CLOCK_REALTIME else 0.0)
+    kind: Any = socket.socket
+    kind.accept = _failing("accept", socket.socket.accept)
+    kind.connect = _failing("connect", socket.socket.connect)
+    kind.__init__ = _failing("socket", socket.socket.__init__)
+    kind.recv, kind.send = _played_recv, _played_send
+    loop: Any = asyncio.selector_events.BaseSelectorEventLoop
+    loop.sock_connect = _played_sock_connect
+    signal.signal(signal.SIGUSR2, _read)
+    _read()
+
+
+if "LAB_FAULTS" in os.environ:
+    _play()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -38,10 +38,10 @@
 class Program:
     """The world round one doorman, and the doorman as a process."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, kind: type[StandDepot] = StandDepot) -> None:
         self.folder, self.port, self.log = folder, free_port(), StandLog()
-        self.depots = [StandDepot("a"), StandDepot("b"), StandDepot("hub", kind="parent", zone="north"),
-                       StandDepot("archive", kind="origin", zone="north")]
+        self.depots = [kind("a"), kind("b"), kind("hub", kind="parent", zone="north"),
+                       kind("archive", kind="origin", zone="north")]
         self.process: asyncio.subprocess.Process | None = None
         self.env = {name: value for name, value in os.environ.items() if not name.startswith("EDGE_")}
 
@@ -77,8 +77,8 @@
 
 
 @contextlib.asynccontextmanager
-async def program(folder: Path) -> AsyncIterator[Program]:
-    one = Program(folder)
+async def program(folder: Path, kind: type[StandDepot] = StandDepot) -> AsyncIterator[Program]:
+    one = Program(folder, kind)
     server = await asyncio.start_server(one.log.serve, "127.0.0.1", 0)
     one.log.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
     async with listening(*one.depots):
@@ -87,7 +87,7 @@
         finally:
             if one.process is not None and one.process.returncode is None:
                 one.process.kill()
-                await one.process.wait()
+                await one.process.communicate()  # read, as a full pipe would keep its end from being seen
             server.close()
 
 
