--- a/lab/faults/sitecustomize.py
+++ b/lab/faults/sitecustomize.py
@@ -1,11 +1,11 @@
 """Faults of the system, played on a program under test.
 
-The interpreter imports this file at its start where ``PYTHONPATH`` names this folder. ``LAB_FAULTS`` names a JSON file
-with the faults that hold from now on; SIGUSR2 makes the program read it again. Keys, all optional:
+The interpreter imports this file at its start where ``PYTHONPATH`` names this folder. ``LAB_FAULTS`` names a JSON
+file with the faults that hold from now on; SIGUSR2 makes the program read it again. Keys, all optional:
 
 - ``clock_ms``: by how much the wall clock has been stepped (the monotonic clocks run on);
-- ``accept``, ``connect``, ``socket``, ``recv``, ``send``, ``open``: ``{"errno": NAME, "for_ms": SPAN}``, the call fails
-  so for that span from the moment the file is read;
+- ``accept``, ``connect``, ``socket``, ``recv``, ``send``, ``open``: ``{"errno": NAME, "for_ms": SPAN}``, the call
+  fails so for that span from the moment the file is read;
 - ``connect_ms``: connections come up so much later;
 - ``short``: reads and writes carry this many bytes at most.
 """
@@ -14,6 +14,7 @@
 import asyncio.selector_events
 import builtins
 import errno
+import io
 import json
 import os
 import signal
@@ -53,17 +54,25 @@
 
 
 _open, _time, _gettime = builtins.open, time.time, time.clock_gettime
-_recv, _send = socket.socket.recv, socket.socket.send
+_socket, _recv, _send = socket.socket.__init__, socket.socket.recv, socket.socket.send
 _sock_connect = asyncio.selector_events.BaseSelectorEventLoop.sock_connect
 
 
+def _played_socket(sock: Any, family: int = -1, type: int = -1, proto: int = -1, fileno: int | None = None) -> None:
+    if fileno is None:  # a new one, not one that accept has brought
+        _fail("socket")
+    _socket(sock, family, type, proto, fileno)
+
+
 def _played_recv(sock: Any, size: int, *flags: int) -> bytes:
-    _fail("recv")
+    if sock.family == socket.AF_INET:  # not the loop's own pair
+        _fail("recv")
     return _recv(sock, min(size, _faults.get("short", size)), *flags)
 
 
 def _played_send(sock: Any, data: Any, *flags: int) -> int:
-    _fail("send")
+    if sock.family == socket.AF_INET:
+        _fail("send")
     return _send(sock, memoryview(data)[:_faults.get("short", len(data))], *flags)
 
 
@@ -73,13 +82,13 @@
 
 
 def _play() -> None:
-    builtins.open = _failing("open", _open)
+    builtins.open = io.open = _failing("open", _open)
     time.time = lambda: _time() + _shift_s()
     time.clock_gettime = lambda clock: _gettime(clock) + (_shift_s() if clock == time.CLOCK_REALTIME else 0.0)
     kind: Any = socket.socket
     kind.accept = _failing("accept", socket.socket.accept)
     kind.connect = _failing("connect", socket.socket.connect)
-    kind.__init__ = _failing("socket", socket.socket.__init__)
+    kind.__init__ = _played_socket
     kind.recv, kind.send = _played_recv, _played_send
     loop: Any = asyncio.selector_events.BaseSelectorEventLoop
     loop.sock_connect = _played_sock_connect
