--- a/aldershed/interface.py
+++ b/aldershed/interface.py
@@ -199,6 +199,11 @@
     shares: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """The program ends: every request that is held is to have its final answer now."""
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """Bytes from another instance of the tier."""
@@ -209,7 +214,7 @@
 
 Event: TypeAlias = (
     StoreList | Request | Outcome | ProbeResult | FirstByte | ClientGone | Purge | Timer | PeerMessage
-    | Retune | Shares | Regions
+    | Retune | Shares | Regions | Ending
 )
 
 # Actions ------------------------------------------------------------------------------------------
--- a/aldershed/logic.py
+++ b/aldershed/logic.py
@@ -240,6 +240,8 @@
                 for name in [n for n in self.stores if event.shares.get(n, 1.0) > 0.0 == self.places.get(n)]:
                     self.stores[name].heal()  # it comes back for all alike, whatever was met there before
                 self.places = event.shares
+            case i.Ending():
+                self.on_ending()
             case i.FirstByte():
                 flight = self.flights.get((event.request, event.attempt))
                 if flight:
@@ -617,6 +619,16 @@
         del self.held[name]
         self.out.append(i.Refuse(name, self.come_back()) if harmless else i.Fail(name))
 
+    def on_ending(self) -> None:
+        """End every request now: what is out, or may have run, is refused only where a repeat is harmless."""
+        for (request, _), flight in self.flights.items():
+            held = self.held.get(request)
+            if held is not None and held.first_risk is None:
+                held.first_risk = flight.sent
+        for held in list(self.held.values()):
+            held.stale_tried = True  # no last attempt either
+            self.give_up(held)
+
     def can_send(self, held: Held) -> bool:
         """Whether the rules and the bounds leave room for another attempt."""
         most = min(self.set.max_attempts or MOST_ATTEMPTS, MOST_ATTEMPTS)
--- a/beechslip/__main__.py
+++ b/beechslip/__main__.py
@@ -7,8 +7,8 @@
 
     sys.exit(cli.main())
 
-# Guards against an end by a SIGHUP that comes while the program loads: it waits until the doorman hears it.
-signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
+# Guards against an end by a signal that comes while the program loads: it waits until the doorman hears it.
+signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP, signal.SIGUSR1])
 
 # A serving doorman starts no programs and uses no sendfile: refused here before aiohttp is imported.
 from beechslip.platform.confine import confine  # noqa: E402
--- a/beechslip/agent/agent.py
+++ b/beechslip/agent/agent.py
@@ -172,7 +172,7 @@
 
     async def _record(self, name: str, kind: str, detail: str = "", key: Fence | None = None) -> bool:
         log.info("%s %s %s", name, kind, detail)
-        return bool(await self._try(self._ask(self._store.record, self._clock.now_ms(), name, kind, detail, key)))
+        return bool(await self._try(self._ask(self._store.record, self._clock.wall_ms(), name, kind, detail, key)))
 
     # Whose it is -----------------------------------------------------------------------------------------
 
@@ -422,7 +422,7 @@
                 await self._ask(rows.set_step, act.step, act.state, act.detail, key)
         if now - self._pruned_ms >= PRUNE_MS:
             self._pruned_ms = now
-            before = self._clock.now_ms() - KEEP_MS
+            before = self._clock.wall_ms() - KEEP_MS
             await self._ask(self._store.prune, before, KEEP_MOST)
             await self._ask(rows.prune, before, KEEP_MOST, key)
 
--- a/beechslip/clock.py
+++ b/beechslip/clock.py
@@ -1,5 +1,8 @@
 """Time: milliseconds as floating-point numbers, from one clock that tests can set.
 
+Spans (deadlines, windows, waits) are differences of ``now_ms``, which no step of the machine's wall clock moves. The
+wall clock itself serves only to date records, and to place what another machine's clock has dated (``local_ms``).
+
 The decision module counts in seconds; ``to_seconds`` and ``to_ms`` are the only place of conversion.
 """
 from __future__ import annotations
@@ -27,9 +30,15 @@
 
 
 class Clock(Protocol):
-    """The time of day in Unix milliseconds, a steady time that nobody sets, and calls at a later time."""
+    """The time now, the wall clock, a steady time that nobody sets, and calls at a later time."""
+
+    def now_ms(self) -> float:
+        """Unix ms at this clock's start, and real time since: never stepped."""
+        ...
 
-    def now_ms(self) -> float: ...
+    def wall_ms(self) -> float:
+        """Unix ms by the machine's wall clock, which may be stepped forward or back at any time."""
+        ...
 
     def steady_ms(self) -> float:
         """ms since some moment of this machine's; no other machine's can be compared with it."""
@@ -38,10 +47,26 @@
     def call_later(self, delay_ms: float, call: Callable[[], None]) -> Alarm: ...
 
 
+def local_ms(clock: Clock, told_ms: float) -> float:
+    """A moment that another machine dated ``told_ms`` (Unix ms), on ``Clock.now_ms``; never in the future.
+
+    Where the wall clock was stepped since this clock's start, nobody here knows which of the two is right: the
+    moment is taken to be as recent as either says. Too recent costs fills and room; too old would break a rule.
+    """
+    now_ms = clock.now_ms()
+    return min(told_ms + max(now_ms - clock.wall_ms(), 0.0), now_ms)
+
+
 class SystemClock:
-    """The system's Unix clock; alarms run on the event loop."""
+    """The system's clocks; alarms run on the event loop."""
+
+    def __init__(self) -> None:
+        self._start_ms = (time.time() - time.monotonic()) * 1000.0
 
     def now_ms(self) -> float:
+        return self._start_ms + time.monotonic() * 1000.0
+
+    def wall_ms(self) -> float:
         return time.time() * 1000.0
 
     def steady_ms(self) -> float:
@@ -65,12 +90,16 @@
 
     def __init__(self, now_ms: float = 1_764_576_000_000.0) -> None:
         self._now = now_ms
+        self.step_ms = 0.0  # by how much the wall clock has been stepped
         self._alarms: list[tuple[float, int, _SetAlarm]] = []
         self._order = itertools.count()
 
     def now_ms(self) -> float:
         return self._now
 
+    def wall_ms(self) -> float:
+        return self._now + self.step_ms
+
     def steady_ms(self) -> float:
         return self._now
 
--- a/beechslip/config.py
+++ b/beechslip/config.py
@@ -1,6 +1,7 @@
 """What a doorman is told: the EDGE_* variables, its configuration file, and the files under ``deploy/``."""
 from __future__ import annotations
 
+import errno
 import math
 import os
 import tomllib
@@ -23,6 +24,13 @@
     """A configuration that can't be used."""
 
 
+class ConfigUnreadable(ConfigError):
+    """The configuration's file can't be read for the moment: the system's trouble, not the file's."""
+
+
+PASSING = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EIO, errno.EINTR, errno.EAGAIN})
+
+
 @dataclass(frozen=True, slots=True)
 class Address:
     """Where something listens."""
@@ -77,7 +85,8 @@
     except FileNotFoundError:
         return None
     except (OSError, ValueError) as error:
-        raise ConfigError(f"{path.name}: {error}") from None
+        passing = isinstance(error, OSError) and error.errno in PASSING
+        raise (ConfigUnreadable if passing else ConfigError)(f"{path.name}: {error}") from None
     return table if table.get("enabled") is True else None
 
 
@@ -144,7 +153,8 @@
     try:
         return path, orjson.loads(Path(path).read_bytes())
     except (OSError, ValueError) as error:
-        raise ConfigError(f"{path}: {error}") from None
+        passing = isinstance(error, OSError) and error.errno in PASSING
+        raise (ConfigUnreadable if passing else ConfigError)(f"{path}: {error}") from None
 
 
 def _kind(value: Any) -> type:
--- a/beechslip/core/engine.py
+++ b/beechslip/core/engine.py
@@ -12,10 +12,11 @@
 import math
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from aldershed import interface as i
-from beechslip.clock import Alarm, Clock, to_ms, to_seconds
+from beechslip.clock import Alarm, Clock, local_ms, to_ms, to_seconds
 from beechslip.core.model import (
     PROVEN_UNRUN,
     Answerer,
@@ -25,6 +26,7 @@
     Depot,
     Earlier,
     Ended,
+    Ending,
     Final,
     Listing,
     Order,
@@ -48,6 +50,7 @@
 LOGGED = 20  # lines a second about requests that were not served: under overload each costs needed CPU
 HELD_BY_DEFAULT = 20_000
 NO_CAP = 1_000  # attempts, where the settings name no number
+PURGES_KEPT = 4_096  # purges that attempts still to be sent are checked against
 WINDOW_MARGIN_MS = 20.0  # a keyed repeat is written at least this long before its window ends
 
 
@@ -75,6 +78,8 @@
         self.sent = 0  # of these, the ones of which a byte was written: only they count towards the cap
         # The rules that held when it was taken: clients hold it to them, whatever SIGHUP brings since.
         self.rule = settings.classes.get(taken.call.class_name)
+        if self.rule is not None and self.rule.effect == "keyed" and not self.call.token:
+            self.rule = replace(self.rule, effect="unsafe")  # without a key no depot can discard a repeat
         self.most = settings.max_attempts or NO_CAP
         self.flight: Flight | None = None
         self.risk_ms: float | None = None  # when the first attempt that may have run was sent
@@ -85,11 +90,11 @@
 class Flight:
     """An attempt that is out: the engine gives back its task and its alarm when it has ended."""
 
-    __slots__ = ("alarm", "ended", "order", "sent_ms", "started", "stopped", "task")
+    __slots__ = ("alarm", "ended", "named_ms", "order", "sent_ms", "started", "stopped", "task")
 
-    def __init__(self, order: Order, sent_ms: float) -> None:
+    def __init__(self, order: Order, named_ms: float) -> None:
         # Until its first byte, sent_ms is when the module named it: a dial or a wait for a place may pass.
-        self.order, self.sent_ms, self.started = order, sent_ms, False
+        self.order, self.named_ms, self.sent_ms, self.started = order, named_ms, named_ms, False
         self.stopped: Result | None = None
         self.ended = Ended("moot")  # a task that is cancelled before its first step runs none of its code
         self.task: asyncio.Task[None] | None = None
@@ -133,6 +138,9 @@
         self._flights: dict[tuple[str, int], Flight] = {}
         self._depots: dict[str, Depot] = {}
         self._probes: set[asyncio.Task[None]] = set()
+        self._started: dict[str, tuple[float, float]] = {}  # by depot, its start as told, and on this clock
+        self._purged_ms: dict[tuple[str, int], float] = {}  # by object, or with none by group: when it was told
+        self._purge_floor_ms = -math.inf  # when the last purge that is no longer in the table was told
         self._last_s = 0.0
         self._logged_ms, self._logged = 0.0, 0
         self.listed = asyncio.Event()  # set once a whole list has been applied
@@ -172,6 +180,8 @@
                     self._on_listing(message)
                 case Purged():
                     self._on_purged(message)
+                case Ending():
+                    self._on_ending()
                 case Retuned():
                     self.settings = message.settings
                     self._give(None, i.Retune(message.settings))
@@ -196,7 +206,7 @@
 
         Requests that the module may have forgotten by that end at their last moment.
         """
-        self._last_s = max(self._last_s, to_seconds(self.clock.now_ms()))  # the system's clock may step back
+        self._last_s = max(self._last_s, to_seconds(self.clock.now_ms()))
         try:
             actions = ask(self._last_s)
         except Exception:
@@ -220,7 +230,7 @@
             case i.Refuse():
                 opened = self._open.get(action.request)
                 if opened is not None:
-                    self._close(opened, Final("refused", retry_after_ms=to_ms(action.retry_after)))
+                    self._close(opened, self._refusal(opened, to_ms(action.retry_after)))
             case i.Fail():
                 opened = self._open.get(action.request)
                 if opened is not None:
@@ -259,6 +269,22 @@
             size_kb=call.size_kb, time_left=to_seconds(opened.deadline_ms - now),
         ))
 
+    @staticmethod
+    def _refusal(opened: Open, retry_after_ms: float) -> Final:
+        """A refusal, which promises that trying again is harmless; a failure where that can't be promised."""
+        rule = opened.rule
+        may_have_run = opened.risk_ms is not None or (opened.flight is not None and opened.flight.started)
+        if may_have_run and rule is not None and rule.effect != "safe" and not (
+                rule.effect == "keyed" and rule.group == "all"):
+            return Final("failed")
+        return Final("refused", retry_after_ms=retry_after_ms)
+
+    def _on_ending(self) -> None:
+        """The module ends all that is open; what it leaves open fails."""
+        self._give(None, i.Ending())
+        for opened in list(self._open.values()):
+            self._on_last_moment(opened)
+
     def _on_last_moment(self, opened: Open) -> None:
         """The module has left a request open to its end: answer it, so that none is lost."""
         if self._open.get(opened.call.id) is not opened:
@@ -348,7 +374,7 @@
             call=opened.call, number=number, depot=depot,
             source="" if action.source == action.store else action.source, timeout_ms=timeout,
             keep=action.keep, max_age_ms=max_age_ms, join=action.join, renew=action.renew,
-            held_only=action.held_only,
+            held_only=action.held_only, ends_ms=now + timeout,
         )
         flight = opened.flight = self._flights[action.request, number] = Flight(order, now)
         flight.alarm = self.clock.call_later(timeout, lambda: flight.stop("timeout"))
@@ -377,6 +403,9 @@
         if opened.answerer.departed:
             self.counters.add("departed")
             return False
+        if not order.call.write and self._purged_since(order.call, flight.named_ms):
+            self.counters.add("purged_before_sending")  # the module names it anew, with an age limit that holds
+            return False
         if depot is None or depot.state != "ready" or depot.address != order.depot.address:
             return False
         if order.source and (source is None or source.state != "ready"):
@@ -390,6 +419,12 @@
                 return False
         return now < opened.deadline_ms
 
+    def _purged_since(self, call: Call, named_ms: float) -> bool:
+        """Whether a purge of the object or its group was told since, while a dial or a wait for a place passed."""
+        told_ms = max(self._purged_ms.get((call.object, 0), -math.inf),
+                      self._purged_ms.get(("", call.group), -math.inf), self._purge_floor_ms)
+        return told_ms > named_ms
+
     async def _fly(self, opened: Open, flight: Flight) -> None:
         try:
             if self._recorder is not None and not await self._on_record(self._recorder, opened):
@@ -467,9 +502,13 @@
     def _on_listing(self, listing: Listing) -> None:
         if listing.kind != "changes":
             self._depots.clear()
-        for depot in listing.depots:
+            listed = {depot.name for depot in listing.depots}
+            self._started = {name: start for name, start in self._started.items() if name in listed}
+        depots = tuple(self._on_this_clock(depot) for depot in listing.depots)
+        for depot in depots:
             if depot.state == "gone":
                 self._depots.pop(depot.name, None)
+                self._started.pop(depot.name, None)
             else:
                 self._depots[depot.name] = depot
             log.info("depot %s %s %s %s %s weight %g since %.0f", depot.name, depot.address, depot.zone,
@@ -477,15 +516,34 @@
         self._prober.follow(self._depots.values())
         self._give(None, i.StoreList(listing.kind, tuple(
             i.StoreEntry(store=d.name, kind=d.kind, zone=d.zone, state=d.state, weight=d.weight, cell=d.cell,
-                         started=to_seconds(d.started_ms)) for d in listing.depots)))
+                         started=to_seconds(d.started_ms)) for d in depots)))
         if listing.kind != "changes":
             self.listed.set()
 
+    def _on_this_clock(self, depot: Depot) -> Depot:
+        """Its start on this process's clock: placed once, when it is first told, or it would look like another."""
+        if depot.started_ms <= 0:
+            return depot
+        told_ms, started_ms = self._started.get(depot.name, (0.0, 0.0))
+        if told_ms != depot.started_ms:
+            started_ms = local_ms(self.clock, depot.started_ms)
+            self._started[depot.name] = depot.started_ms, started_ms
+        return depot if started_ms == depot.started_ms else replace(depot, started_ms=started_ms)
+
+    def _remember_purge(self, purged: Purged) -> None:
+        """For attempts that are named and not sent yet; beyond the bound the oldest counts for all objects."""
+        key = (purged.object, 0) if purged.object else ("", purged.group)
+        self._purged_ms.pop(key, None)
+        self._purged_ms[key] = self.clock.now_ms()
+        if len(self._purged_ms) > PURGES_KEPT:
+            self._purge_floor_ms = self._purged_ms.pop(next(iter(self._purged_ms)))
+
     def _on_purged(self, purged: Purged) -> None:
         self.counters.add("purges")
+        self._remember_purge(purged)
         if self._watcher is not None:
             self._watcher.purged(purged)
-        age = max(self.clock.now_ms() - purged.time_ms, 0.0)
+        age = self.clock.now_ms() - local_ms(self.clock, purged.time_ms)
         self._give(None, i.Purge(purged.object, purged.group, to_seconds(age)))
 
     async def _probe(self, name: str) -> None:
--- a/beechslip/core/model.py
+++ b/beechslip/core/model.py
@@ -5,6 +5,7 @@
 """
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Literal, Protocol
@@ -62,6 +63,7 @@
     join: bool = False
     renew: bool = False
     held_only: bool = False
+    ends_ms: float = math.inf  # when the attempt is given up (of ``Clock.now_ms``)
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,6 +221,11 @@
     settings: Settings
 
 
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """The program ends soon: every open request is to have its final answer now."""
+
+
 @dataclass(frozen=True, slots=True)
 class Purged:
     """An object, or with no object a group, was purged at that time."""
--- a/beechslip/doorman.py
+++ b/beechslip/doorman.py
@@ -8,16 +8,25 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from aldershed.interface import Settings
 from aldershed.logic import Router
 from beechslip.clock import Alarm, Clock, SystemClock
-from beechslip.config import RECORD_FILE, Config, ConfigError, read_config, read_enabled, reread_config
+from beechslip.config import (
+    RECORD_FILE,
+    Config,
+    ConfigError,
+    ConfigUnreadable,
+    read_config,
+    read_enabled,
+    reread_config,
+)
 from beechslip.core.engine import Engine
-from beechslip.core.model import Prober, Retuned
+from beechslip.core.model import Ending, Prober, Retuned
 from beechslip.core.retune import BIND_MS, overlap
 from beechslip.counters import Counters
 from beechslip.fleet.settings import FLEET_FILE, read_fleet, refuse_old
@@ -26,6 +35,7 @@
 from beechslip.platform.front import HttpFront
 from beechslip.platform.ops import OpsFront
 from beechslip.platform.parse import parse_known
+from beechslip.platform.sockets import OWN_FAULTS
 
 if TYPE_CHECKING:
     from beechslip.peering import Peering  # imported only where the fleet's file is on: protobuf stays out
@@ -33,10 +43,16 @@
 
 log = logging.getLogger("beechslip")
 
-# After SIGTERM new connections keep coming for up to 0.4 s and requests on open ones for 0.2 s more.
-LINGER_S = 0.8
+# After SIGTERM new connections keep coming for up to 0.4 s and requests on open ones for 0.2 s more; some clients go
+# on to the end. SIGKILL may come the longest deadline, counted as 3 s at the most, and 0.7 s after SIGTERM, and what
+# came more than 0.7 s after SIGTERM must be answered by then.
+LINGER_S = 0.65
+MOST_DEADLINE_S, KILL_AFTER_S = 3.0, 0.7
+LAST_ANSWERS_S, LAST_BYTES_S = 0.15, 0.05  # before SIGKILL: when all that is open is ended; when all is written
 # Almost nothing here is cyclic; looking for cycles after every 700 objects, the default, is CPU for nothing.
 GC_THRESHOLD = (20_000, 20, 20)
+# What the system refuses for a moment (a file that can't be opened, a socket that can't be had) is tried again.
+AGAIN_MS, RELOAD_TRIES, START_TRIES = 50.0, 40, 200
 KEPT = "BEECHSLIP_KEPT"  # set by an agent, which holds the other end of standard input
 
 
@@ -52,7 +68,7 @@
         self._binding: Alarm | None = None  # until what SIGHUP has brought holds alone
         self._peering: Peering | None = None
 
-    def reload(self, environ: Mapping[str, str] | None = None) -> None:
+    def reload(self, environ: Mapping[str, str] | None = None, tries: int = RELOAD_TRIES) -> None:
         """Read the configuration file anew: follow the change log where it is now, go by the new settings.
 
         Guards against an end by SIGHUP, which kills a program that has no handler for it. All else that the
@@ -61,9 +77,15 @@
         try:
             config = reread_config(self.config, environ)
             self._regroup(config)
+        except ConfigUnreadable as error:
+            if tries > 0:
+                log.warning("the new configuration can't be read yet: %s", error)
+                self.clock.call_later(AGAIN_MS, lambda: self.reload(environ, tries - 1))
+                return
+            self._refuse_reload(error)
+            return
         except ConfigError as error:
-            self.counters.add("reloads.refused")
-            log.error("the new configuration is not used: %s", error)
+            self._refuse_reload(error)
             return
         self.counters.add("reloads")
         self.config = config
@@ -72,6 +94,10 @@
             self._reader.move(config.changelog)
             log.info("the change log is at %s, told up to %d", config.changelog, self._reader.last)
 
+    def _refuse_reload(self, error: ConfigError) -> None:
+        self.counters.add("reloads.refused")
+        log.error("the new configuration is not used: %s", error)
+
     @staticmethod
     def _fleet_file() -> Path:
         told = os.environ.get("EDGE_FLEET")
@@ -197,10 +223,10 @@
             log.info("%s, process %d, is told to end", config.name, os.getpid())
             if config.fd is not None:
                 front.hand_over()
+            kill_s = asyncio.get_running_loop().time() + self._grace_s()
             await asyncio.sleep(LINGER_S)
             front.drain()
-            await engine.quiet.wait()
-            await front.settle()
+            await self._answer_all(engine, front, kill_s)
             log.info("%s, process %d, has answered all that it took, and ends", config.name, os.getpid())
         finally:
             await front.close()
@@ -217,6 +243,23 @@
                 record.close()
             log.info("%s", self.counters.line())
 
+    def _grace_s(self) -> float:
+        """How long after SIGTERM the process may go on, by the settings that hold."""
+        longest_s = max((rule.deadline for rule in self._settings.classes.values()), default=MOST_DEADLINE_S)
+        return min(longest_s or MOST_DEADLINE_S, MOST_DEADLINE_S) + KILL_AFTER_S
+
+    async def _answer_all(self, engine: Engine, front: HttpFront, kill_s: float) -> None:
+        """Until all that was taken is answered; shortly before SIGKILL may come what is open is ended."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout_at(kill_s - LAST_ANSWERS_S):
+                await engine.quiet.wait()
+        except TimeoutError:
+            log.info("some requests are open still: they are ended before SIGKILL may come")
+            engine.post(Ending())
+            await engine.quiet.wait()
+        await front.settle(max(kill_s - LAST_BYTES_S - loop.time(), LAST_BYTES_S) * 1000.0)
+
     async def _serve(self, tasks: Sequence[asyncio.Task[Any]]) -> None:
         """Until told to stop; a part that ends by itself is a fault of the program."""
         stop = asyncio.create_task(self.stopping.wait())
@@ -236,6 +279,21 @@
         self._stopping.set()
 
 
+T = TypeVar("T")
+
+
+def _again(call: Callable[[], T], passing: type[Exception], tries: int = START_TRIES) -> T:
+    """The call's result; made again while it fails for a moment."""
+    while True:
+        try:
+            return call()
+        except passing as error:
+            if tries <= 0 or (isinstance(error, OSError) and error.errno not in OWN_FAULTS):
+                raise
+            tries -= 1
+            time.sleep(AGAIN_MS / 1000.0)
+
+
 async def _main(config: Config) -> None:
     doorman, loop = Doorman(config), asyncio.get_running_loop()
     if os.environ.get(KEPT):
@@ -244,16 +302,20 @@
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, doorman.stopping.set)
     loop.add_signal_handler(signal.SIGHUP, doorman.reload)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])  # what came since the start is heard now
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("%s", doorman.counters.line()))
-    await doorman.run()
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP, signal.SIGUSR1])  # what came since the start is heard
+    try:
+        await doorman.run()
+    finally:
+        # The loop gives its handlers back as it closes: a signal that comes then would end the process by itself.
+        signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM, signal.SIGINT])
 
 
 def main() -> int:
     """Run one doorman as the environment describes it."""
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(name)s %(message)s")
     try:
-        config = read_config()
+        config = _again(read_config, ConfigUnreadable)
     except ConfigError as error:
         log.error("%s", error)
         return 2
@@ -261,7 +323,8 @@
     gc.freeze()  # what was loaded at the start is never looked through again
     with contextlib.suppress(KeyboardInterrupt):
         try:
-            asyncio.run(_main(config))
+            with asyncio.Runner(loop_factory=lambda: _again(asyncio.new_event_loop, OSError)) as runner:
+                runner.run(_main(config))
         except ConfigError as error:
             log.error("%s", error)
             return 2
--- a/beechslip/platform/depots.py
+++ b/beechslip/platform/depots.py
@@ -15,7 +15,7 @@
 from beechslip.core.model import Depot, Ended, Order
 from beechslip.counters import Counters
 from beechslip.platform.answers import Spoilt
-from beechslip.platform.links import Link, LinkGate, Lost, Pool, Told
+from beechslip.platform.links import Link, LinkGate, Lost, NoSocket, Pool, Told
 from beechslip.platform.parse import MOST_ANSWER, depot_headers, depot_target, parse_answer
 
 log = logging.getLogger("beechslip.depots")
@@ -29,7 +29,7 @@
     """Owns the pool; ``close`` gives it back."""
 
     def __init__(self, settings: Settings, sockets: int, clock: Clock, counters: Counters) -> None:
-        self._counters = counters
+        self._counters, self._clock = counters, clock
         # Clients may hold half of the descriptors; three eighths here leave the rest for all else.
         self._pool = Pool(clock, counters, max(sockets * 3 // 8, 1),
                           IDLE_MS, DIAL_MS)
@@ -53,9 +53,13 @@
     def follow(self, depots: Iterable[Depot]) -> None:
         self._pool.follow(depots)
 
-    async def _ask(self, depot: Depot, message: bytes, may_start: Callable[[], bool]) -> Told | Ended:
+    async def _ask(self, depot: Depot, compose: Callable[[], bytes], may_start: Callable[[], bool]) -> Told | Ended:
+        """``compose`` makes the message right before it is written: a dial or a wait for a place has passed."""
         try:
             link = await self._pool.take((depot.name, depot.address))
+        except NoSocket:  # this machine's trouble says nothing of the depot
+            self._counters.add("depot.no_socket")
+            return Ended("moot")
         except (OSError, ConfigError):  # a refusal, or no connection in time: nothing ran
             return Ended("connect_failed")
         if not link.open:  # reset between its dial's end and this task's step: nothing was written
@@ -63,6 +67,7 @@
         if not may_start():
             self._pool.give_back(link)
             return Ended("moot")
+        message = compose()
         answer = link.ask(message, MOST_ANSWER)
         try:
             told = await answer
@@ -100,7 +105,7 @@
 
     async def carry(self, order: Order, may_start: Callable[[], bool]) -> Ended:
         call = order.call
-        told = await self._ask(order.depot, depot_message(order), may_start)
+        told = await self._ask(order.depot, lambda: depot_message(order, self._left_ms(order)), may_start)
         if isinstance(told, Ended):
             return told
         answer = told.answer
@@ -110,12 +115,16 @@
         ended.at_ms = told.read_ms
         return ended
 
+    def _left_ms(self, order: Order) -> float:
+        """How long the attempt may still last: its depot is told no more than its client has left."""
+        return min(order.timeout_ms, order.ends_ms - self._clock.now_ms())
+
     async def probe(self, depot: Depot, may_start: Callable[[], bool] = lambda: True) -> Ended:
         """Ask ``may_start`` right before the first byte; "moot" if it says no."""
         message = f"GET {self._probe_path} HTTP/1.1\r\nHost: {depot.address}\r\n\r\n".encode()
         try:
             async with asyncio.timeout(PROBE_MS / 1000):
-                told = await self._ask(depot, message, may_start)
+                told = await self._ask(depot, lambda: message, may_start)
         except TimeoutError:
             return Ended("timeout")
         if isinstance(told, Ended):
@@ -123,10 +132,10 @@
         return parse_answer(told.answer.status, told.answer.fields, b"", self._tells, "", write=True)
 
 
-def depot_message(order: Order) -> bytes:
-    """An attempt's request as it is written."""
+def depot_message(order: Order, wait_ms: float) -> bytes:
+    """An attempt's request as it is written, when it may last ``wait_ms`` more."""
     call = order.call
-    fields = {"Host": order.depot.address} | depot_headers(order, order.timeout_ms)
+    fields = {"Host": order.depot.address} | depot_headers(order, wait_ms)
     if call.write:
         fields["Content-Length"] = str(len(call.body))
     head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
--- a/beechslip/platform/front.py
+++ b/beechslip/platform/front.py
@@ -16,15 +16,17 @@
 from beechslip.counters import Counters
 from beechslip.platform.parse import MOST_BODY, BadRequest, check_fields, parse_call
 from beechslip.platform.server import BoundedServer, Connection
+from beechslip.platform.sockets import Listener, listening_socket
 
 SWEEP_MS = 250.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CLOSE_S = 2.0  # for an answer that is being written when the front closes
-SETTLE_S = 2.4  # for a request that is being read at the drain: no sweep lets one take longer
+SETTLE_MS = 2_400.0  # for a request that is being read at the drain: no sweep lets one take longer
 BACKLOG = 512  # connections that may wait in the kernel
-ACCEPTED = 8  # and of these are taken at once: more would outrun the bound on descriptors
 # Sent away, clients keep coming on new connections for 0.3 s: the platform asks /health every 0.1 s and goes
 # by the last answer for 0.2 s more. 4 s after the call nobody may wait here with a request of the last 2 s.
 SENT_ON_MS, LAST_TAKEN_MS = 400.0, 1_800.0
+UNHEARD_S = 0.02  # for the request of a connection that came at the very end
 STATUS = {"": 502, "deadline": 504, "duplicate": 409, "fault": 500, "sent before": 502}
 
 
@@ -41,7 +43,7 @@
 
     @property
     def departed(self) -> bool:
-        return self._connection.departed
+        return self._connection.gone
 
 
 def to_response(final: Final) -> web.Response:
@@ -63,8 +65,8 @@
     def __init__(self, settings: Settings, clock: Clock, carrier: Carrier, post: Callable[[object], None],
                  counters: Counters, sockets: int = 1024) -> None:
         self._settings, self._clock, self._carrier = settings, clock, carrier
-        self._post = post
-        self._listener: asyncio.Server | None = None
+        self._post, self._counters = post, counters
+        self._listener: Listener | None = None
         self._sweeping: Alarm | None = None
         self._draining = self._parting = False
         self._away_ms: float | None = None  # since when clients are sent away
@@ -79,16 +81,12 @@
 
     async def start(self, listen: Address, fd: int | None = None) -> None:
         """Listen at the address, or on the platform's socket, which its next process inherits as well."""
-        loop = asyncio.get_running_loop()
-        if fd is None:
-            sock = socket.create_server((listen.host, listen.port), backlog=BACKLOG)
-        else:
-            # Guards against an upgrade that fails: the address is taken while the platform holds its socket.
-            sock = socket.socket(fileno=fd)
-        sock.setblocking(False)
-        self._listener = await loop.create_server(self._server, sock=sock, backlog=ACCEPTED)
-        sock.listen(BACKLOG)  # asyncio takes one figure for what may wait and for what it accepts at once
-        self.port = sock.getsockname()[1]
+        # Guards against an upgrade that fails: the address is taken while the platform holds its socket.
+        sock = await listening_socket(listen, BACKLOG) if fd is None else socket.socket(fileno=fd)
+        if fd is not None:
+            sock.listen(BACKLOG)
+        self._listener = Listener(sock, self._server, self._counters)
+        self.port = self._listener.port
         self._sweep()
 
     def send_away(self) -> None:
@@ -128,19 +126,26 @@
         self._sweeping = self._clock.call_later(SWEEP_MS, self._sweep)
 
     def drain(self) -> None:
-        """Take no more: what still comes is refused, and only open requests keep their connection."""
+        """Take no more: what still comes is refused, and only open requests keep their connection.
+
+        It goes on listening to the end: what the kernel has accepted is owed an answer, if only a refusal.
+        """
         self._draining = True
-        if self._listener is not None:
-            self._listener.close()
         self._server.end_idle()
 
-    async def settle(self) -> None:
-        """Until nothing that came before the drain is owed: answers, which all have their time, and for a while
-        requests that are half read and answers that are partly sent."""
-        await self._server.settle(lambda one: one.owed)
+    async def settle(self, within_ms: float = SETTLE_MS) -> None:
+        """Until nothing is owed: answers, and for a while requests that are half read and answers partly sent."""
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(SETTLE_S):
-                await self._server.settle(lambda one: one.unsettled)
+            async with asyncio.timeout(within_ms / 1000.0):
+                while True:
+                    await self._server.settle(lambda one: one.unsettled)
+                    if self._listener is None:
+                        return
+                    await self._listener.accept_all()
+                    if not self._server.owes(lambda one: one.unsettled or one.unheard):
+                        return
+                    await asyncio.sleep(UNHEARD_S)
+                    self._server.end_idle(silent=True)
 
     async def close(self) -> None:
         if self._sweeping is not None:
@@ -184,7 +189,7 @@
                               self._settings)
         except BadRequest as error:
             return self._server.turn_down(error)
-        if self._draining or self._away_for() >= LAST_TAKEN_MS or connection.departed or request.transport is None:
+        if self._draining or self._away_for() >= LAST_TAKEN_MS or connection.gone or request.transport is None:
             # Read after the end of its connection, nobody awaits its answer: sent on, it would only run in vain.
             return to_response(Final("refused"))
         answerer = HttpAnswerer(connection)
@@ -201,6 +206,8 @@
         A slow one is ended by the sweep, with its connection.
         """
         body = bytearray()
+        if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+            request.transport.write(CONTINUE)  # its client may wait for this before it sends the body
         try:
             async for chunk in request.content.iter_any():
                 body += chunk
--- a/beechslip/platform/links.py
+++ b/beechslip/platform/links.py
@@ -2,21 +2,27 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import math
+import socket
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
 from beechslip.clock import Clock
-from beechslip.config import parse_address
+from beechslip.config import Address, parse_address
 from beechslip.core.model import Depot
 from beechslip.counters import Counters
 from beechslip.platform.answers import Answer, AnswerParser, Spoilt
+from beechslip.platform.sockets import OWN_FAULTS, PatientSocket
 
 # Rest before a connection is used again. What a depot sends beyond its answer comes right behind it: bytes
 # that arrive while the connection rests end it, in place of being read as the next request's answer.
 REST_MS = 20.0
+# Failures of a connect that may pass at once and prove nothing yet: the way to the depot, not the depot.
+MOMENTARY = frozenset({errno.ENETUNREACH, errno.ENETDOWN, errno.ECONNABORTED, errno.EINTR, errno.EAGAIN})
+AGAIN_S = 0.01  # until the next try
 
 Key = tuple[str, str]  # a depot's name and address: a new depot may take the address of one that has gone
 
@@ -31,6 +37,10 @@
     def link_ended(self, depot: str) -> None: ...
 
 
+class NoSocket(OSError):
+    """This machine could not open a connection in time, for want of descriptors, memory or ports."""
+
+
 class Lost(Exception):
     """The connection ended under a request, which may or may not have run."""
 
@@ -105,6 +115,39 @@
             self._transport.abort()
 
 
+async def connect(address: Address, within_s: float) -> socket.socket:
+    """A connected socket. Calls that fail for a moment are made again until the time is over.
+
+    Raises NoSocket where this machine was to blame at the end, another OSError where the other side was.
+    """
+    failed: OSError | None = None
+    try:
+        async with asyncio.timeout(within_s):
+            while True:
+                try:
+                    return await _connect_once(address)
+                except OSError as error:
+                    if error.errno not in OWN_FAULTS | MOMENTARY:
+                        raise
+                    failed = error
+                await asyncio.sleep(AGAIN_S)
+    except TimeoutError:
+        if failed is not None and failed.errno in OWN_FAULTS:
+            raise NoSocket(failed.errno, str(failed)) from None
+        raise
+
+
+async def _connect_once(address: Address) -> socket.socket:
+    sock = PatientSocket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (address.host, address.port))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 class Pool:
     """Owns the connections to depots, and bounds their number, idle ones included."""
 
@@ -181,8 +224,12 @@
             return made[0]
         self._dialling += 1
         try:
-            async with asyncio.timeout(self.dial_ms / 1000.0):
-                _, link = await asyncio.get_running_loop().create_connection(make, address.host, address.port)
+            sock = await connect(address, self.dial_ms / 1000.0)
+            try:
+                _, link = await asyncio.get_running_loop().create_connection(make, sock=sock)
+            except BaseException:
+                sock.close()
+                raise
         except BaseException:
             if not made:  # one that was made tells of its end itself
                 self._closed(key[0])
--- a/beechslip/platform/ops.py
+++ b/beechslip/platform/ops.py
@@ -1,7 +1,6 @@
 """Where operators call: readiness, drain and activate, and pages, at an address of their own."""
 from __future__ import annotations
 
-import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Mapping
 
@@ -12,9 +11,11 @@
 from beechslip.config import Address
 from beechslip.counters import Counters
 from beechslip.platform.server import BoundedServer
+from beechslip.platform.sockets import Listener, listening_socket
 
 log = logging.getLogger("beechslip.ops")
 
+BACKLOG = 100  # connections that may wait in the kernel
 MOST = 24  # connections; some callers connect and finish no call
 READ_MS = 8_000.0  # and they may take their time, unlike clients
 SWEEP_MS = 1_000.0
@@ -38,14 +39,13 @@
         }
         self._clock, self._counters = clock, counters
         self._server = BoundedServer(self._handle, clock, counters, MOST, READ_MS)
-        self._listener: asyncio.Server | None = None
+        self._listener: Listener | None = None
         self._sweeping: Alarm | None = None
         self.port = 0
 
     async def start(self, listen: Address) -> None:
-        self._listener = await asyncio.get_running_loop().create_server(
-            self._server, listen.host, listen.port, reuse_address=True)
-        self.port = self._listener.sockets[0].getsockname()[1]
+        self._listener = Listener(await listening_socket(listen, BACKLOG), self._server, self._counters)
+        self.port = self._listener.port
         self._sweep()
 
     def _sweep(self) -> None:
--- a/beechslip/platform/server.py
+++ b/beechslip/platform/server.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -24,11 +25,26 @@
 LOGGED = 10  # lines a second about bad requests: in a flood each would cost CPU that the others need
 
 
+# States of TCP in which the other side has not closed: established, and the first two of an end begun here.
+OPEN_STATES = frozenset({1, 4, 5})
+
+
+def _tcp_state(transport: asyncio.BaseTransport | None) -> int:
+    """The kernel's state of a connection; 0 where it does not tell."""
+    sock = transport.get_extra_info("socket") if transport is not None else None
+    if sock is None:
+        return 0
+    try:
+        return int(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0])
+    except (OSError, AttributeError, IndexError):
+        return 0
+
+
 class Connection(web.RequestHandler):
     """A client's connection, with what the bound and the time limits go by."""
 
-    __slots__ = ("_ahead", "_begun", "_stamps", "_tail", "answering", "arrived_ms", "departed", "house", "in_hand",
-                 "partial", "read_ms", "since_ms", "wire")
+    __slots__ = ("_ahead", "_begun", "_stamps", "_tail", "_tells_state", "answering", "arrived_ms", "departed",
+                 "house", "in_hand", "partial", "read_ms", "since_ms", "wire")
 
     house: BoundedServer
 
@@ -44,6 +60,7 @@
         self._begun = False  # bytes have come that no answer has settled
         self._tail = END  # the last bytes: whether they end a request
         self._ahead = 0  # bytes read while aiohttp's queue of requests was full
+        self._tells_state = False
         return self
 
     @property
@@ -56,6 +73,20 @@
         whole = self.in_hand is not None and self.in_hand.is_eof()
         return self.answering or whole or any(payload.is_eof() for _, payload in self._messages)
 
+    @property
+    def gone(self) -> bool:
+        """Whether its client has closed or reset it, also where nobody here has read so far.
+
+        Guards against an attempt for a client whose close waits in the kernel: behind bytes that are not read for
+        the moment, or while the loop was busy.
+        """
+        return self.departed or (self._tells_state and _tcp_state(self.wire) not in OPEN_STATES)
+
+    @property
+    def unheard(self) -> bool:
+        """Whether it is new: no byte of a request has been read yet."""
+        return self.partial and not self._begun
+
     @property
     def half_read(self) -> bool:
         return self.partial and self._begun and not self.owed
@@ -76,6 +107,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self.wire = self.transport
+        self._tells_state = _tcp_state(self.wire) in OPEN_STATES
         self.house.make_room(self)
 
     def data_received(self, data: bytes) -> None:
@@ -212,9 +244,13 @@
             if not one.owed and (silent or not one.partial):
                 self._end(one, "closed.idle", patient=True)
 
+    def owes(self, what: Callable[[Connection], bool]) -> bool:
+        """Whether any connection owes, or is owed, something of this kind."""
+        return any(what(one) for one in [*self._open, *self._ending])
+
     async def settle(self, owes: Callable[[Connection], bool]) -> None:
         """Until no connection owes anything of this kind. The sweep looks again, and ends what stands still."""
-        while any(owes(one) for one in [*self._open, *self._ending]):
+        while self.owes(owes):
             self.settled.clear()
             await self.settled.wait()
 
--- a/beechslip/store/sent.py
+++ b/beechslip/store/sent.py
@@ -6,8 +6,9 @@
 others the time since is unknown, and they are not sent again.
 
 The disk is never waited for longer than ``wait_ms``, and by keyed requests alone: one that can't be put on record in
-that time is not sent, and its client hears so. Bounds: ``MOST_WAITING`` at once; rows go after ``keep_s`` (by the
-time of day, which nothing but their age goes by).
+that time is not sent, and its client hears so. Bounds: ``MOST_WAITING`` at once; rows go after ``keep_s``, those of
+this boot by its steady clock, and those of others once this process has run for as long and the time of day, which
+may have been stepped by an hour, leaves no doubt.
 """
 from __future__ import annotations
 
@@ -24,7 +25,7 @@
 from beechslip.core.model import Earlier
 from beechslip.counters import Counters
 from beechslip.fleet.settings import Table
-from beechslip.store import Store, StoreError, open_store
+from beechslip.store import Rows, Store, StoreError, open_store
 
 log = logging.getLogger("beechslip.record")
 
@@ -33,6 +34,7 @@
     steady_ms DOUBLE PRECISION NOT NULL, at_ms DOUBLE PRECISION NOT NULL)"""
 MOST_WAITING = 64
 PRUNE_MS = 60_000.0
+LARGEST_STEP_MS = 3_600_000.0  # of a wall clock: rows of other boots are kept so much longer
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +65,7 @@
         self._thread = ThreadPoolExecutor(1, "record")
         self._store: Store | None = None
         self._waiting = 0
-        self._pruned_ms = clock.steady_ms()
+        self._began_ms = self._pruned_ms = clock.steady_ms()
         try:
             self._boot = BOOT.read_text().strip()
         except OSError:
@@ -74,7 +76,7 @@
             self._counters.add("record.full")
             return False
         self._waiting += 1
-        steady, at = self._clock.steady_ms(), self._clock.now_ms()
+        steady, at = self._clock.steady_ms(), self._clock.wall_ms()
         work = asyncio.get_running_loop().run_in_executor(self._thread, self._note, token, steady, at)
         work.add_done_callback(self._done)
         try:
@@ -109,11 +111,19 @@
                     steady_ms=steady_ms, at_ms=at_ms):
             if steady_ms - self._pruned_ms >= PRUNE_MS:
                 self._pruned_ms = steady_ms
-                rows.run("DELETE FROM sent WHERE at_ms < :before", before=at_ms - 1000.0 * self._config.keep_s)
+                self._prune(rows, steady_ms, at_ms)
             return None
         found = rows.run("SELECT boot, steady_ms FROM sent WHERE op_key = :op_key", op_key=token)
         return (str(found[0][0]), float(found[0][1])) if found else ("", 0.0)
 
+    def _prune(self, rows: Rows, steady_ms: float, at_ms: float) -> None:
+        keep_ms = 1000.0 * self._config.keep_s
+        rows.run("DELETE FROM sent WHERE boot = :boot AND steady_ms < :before", boot=self._boot,
+                 before=steady_ms - keep_ms)
+        if steady_ms - self._began_ms >= keep_ms:
+            rows.run("DELETE FROM sent WHERE boot <> :boot AND at_ms < :before", boot=self._boot,
+                     before=at_ms - keep_ms - LARGEST_STEP_MS)
+
     def forget(self, token: str) -> None:
         if self._waiting < MOST_WAITING:
             self._waiting += 1
