--- a/aldershed/logic.py
+++ b/aldershed/logic.py
@@ -12,6 +12,7 @@
 from itertools import chain
 
 from aldershed import interface as i
+from aldershed.purges import Purges
 from aldershed.rendezvous import MASK, RendezvousOrder, mix, stable_hash
 from aldershed.tallies import MEMORY, Fills, Lateness, Tally
 
@@ -25,7 +26,6 @@
 SURE = 1.75  # of the half that is spent: by a mean, which over all proxies errs by chance alone, more is
 UNKNOWN_SHARERS = 100  # proxies that send to a store, where their number is not told
 UNKNOWN_PURGE_DONE = 60.0  # s
-MOST_PURGES = 50_000  # beyond this the oldest fold into one limit for all objects: safe, but costs fills
 HARD_STRIKES = 2  # connections lost in a row; one may be chance, a third would only cost another request
 ALIVE = 0.3  # s since its last answer within which a store runs, whatever a single connection suffers
 SILENT_STRIKES, SILENT_MOST = 3, 9  # overdue attempts at a store that says nothing: for a probe; for proof
@@ -141,10 +141,7 @@
         self.densities: deque[float] = deque(maxlen=RECENT)  # worth for each second of sending, lately
         self.retries, self.told = RETRY_BURST, i.Shares()  # told: of the fleet's wholes
         self.places: dict[str, float] = {}  # by store, the part of the objects that the fleet leaves there
-        self.purged_objects: dict[str, float] = {}
-        self.purged_groups: dict[int, float] = {}
-        self.purge_order: deque[tuple[float, str, int]] = deque()
-        self.purged_all = -math.inf
+        self.purges = Purges()
 
     def start(self, now: float) -> list[i.Action]:
         """What a fresh instance does before it knows anything."""
@@ -467,37 +464,14 @@
     # Purges --------------------------------------------------------------------------------------
 
     def on_purge(self, purge: i.Purge) -> None:
-        """Remember the purge until every store has dropped older copies by itself."""
-        at = self.now - purge.age
-        if purge.object:
-            at = self.purged_objects[purge.object] = max(at, self.purged_objects.get(purge.object, at))
-        else:
-            at = self.purged_groups[purge.group] = max(at, self.purged_groups.get(purge.group, at))
-        self.purge_order.append((at, purge.object, purge.group))
-        self.forget_purges()
+        self.purges.add(self.now, purge, self.purge_memory())
 
     def purge_memory(self) -> float:
         return (self.set.purge_done or UNKNOWN_PURGE_DONE) + 1.0  # a second more costs a few renewals
 
-    def forget_purges(self) -> None:
-        while self.purge_order:
-            at, name, group = self.purge_order[0]
-            old = at <= self.now - self.purge_memory()
-            if not old and len(self.purge_order) <= MOST_PURGES:
-                return
-            self.purge_order.popleft()
-            if not old:
-                self.purged_all = max(self.purged_all, at)
-            if name and self.purged_objects.get(name) == at:
-                del self.purged_objects[name]
-            elif not name and self.purged_groups.get(group) == at:
-                del self.purged_groups[group]
-
     def oldest(self, held: Held, most: float) -> float:
         """Age limit for an attempt: ``most`` (0: any) or the time since the last purge, never 0."""
-        self.forget_purges()
-        at = max(self.purged_objects.get(held.ask.object, -math.inf),
-                 self.purged_groups.get(held.ask.group, -math.inf), self.purged_all)
+        at = self.purges.last(self.now, held.ask.object, held.ask.group, self.purge_memory())
         if self.now - at > self.purge_memory():
             return most
         limit = max(math.floor((self.now - at) / MICRO - 1.0), 1.0) * MICRO
--- a/beechslip/duties/shared.py
+++ b/beechslip/duties/shared.py
@@ -14,7 +14,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from aldershed import interface as i
 from beechslip.clock import Clock, to_seconds
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -320,7 +320,7 @@
         stage.now += 1.1
     stage.now += 3.0
     assert attempts(stage.ask("/a"))[0].max_age == 0.0
-    assert not stage.router.purged_objects and not stage.router.purged_groups
+    assert not stage.router.purges.objects and not stage.router.purges.groups
 
 
 def test_an_age_limit_is_never_rounded_to_no_limit() -> None:
@@ -337,11 +337,11 @@
 
 
 def test_purge_memory_is_bounded_and_stays_on_the_safe_side(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("aldershed.logic.MOST_PURGES", 10)
+    monkeypatch.setattr("aldershed.purges.MOST_PURGES", 10)
     stage = Stage()
     for n in range(50):
         stage.give(i.Purge(f"/p{n}", n, 0.1))
-    assert len(stage.router.purged_objects) <= 10
+    assert len(stage.router.purges.objects) <= 10
     assert 0.0 < attempts(stage.ask("/p0", group=99))[0].max_age <= 0.2
 
 
