--- a/beechslip/platform/depots.py
+++ b/beechslip/platform/depots.py
@@ -23,6 +23,7 @@
 DIAL_MS, IDLE_MS = 400.0, 30_000.0  # where the settings don't say
 IDLE_EARLY = 0.8  # idle connections are dropped at this share of the depot's limit, so none is lost to a race
 PROBE_MS = 300.0
+SEND_AGAIN_S = 0.005  # where the kernel has no room for a first byte
 
 
 class DepotClient:
@@ -68,7 +69,13 @@
             self._pool.give_back(link)
             return Ended("moot")
         message = compose()
-        answer = link.ask(message, MOST_ANSWER)
+        while (answer := link.ask(message, MOST_ANSWER)) is None:
+            try:
+                await asyncio.sleep(SEND_AGAIN_S)
+            except BaseException:
+                link.end()
+                raise
+            message = compose()
         try:
             told = await answer
         except BaseException as error:
--- a/beechslip/platform/front.py
+++ b/beechslip/platform/front.py
@@ -15,7 +15,7 @@
 from beechslip.core.model import Carrier, ClientLeft, Final, Taken
 from beechslip.counters import Counters
 from beechslip.platform.parse import MOST_BODY, BadRequest, check_fields, parse_call
-from beechslip.platform.server import BoundedServer, Connection
+from beechslip.platform.server import BEAT_MS, BoundedServer, Connection
 from beechslip.platform.sockets import Listener, listening_socket
 
 SWEEP_MS = 250.0
@@ -68,6 +68,7 @@
         self._post, self._counters = post, counters
         self._listener: Listener | None = None
         self._sweeping: Alarm | None = None
+        self._beating: Alarm | None = None
         self._draining = self._parting = False
         self._away_ms: float | None = None  # since when clients are sent away
         self.port = 0
@@ -88,6 +89,7 @@
         self._listener = Listener(sock, self._server, self._counters)
         self.port = self._listener.port
         self._sweep()
+        self._beat()
 
     def send_away(self) -> None:
         """An operator drains this doorman: /health says no, and no client stays. ``welcome`` takes it back.
@@ -125,6 +127,10 @@
             self._server.end_idle()
         self._sweeping = self._clock.call_later(SWEEP_MS, self._sweep)
 
+    def _beat(self) -> None:
+        self._server.beat()
+        self._beating = self._clock.call_later(BEAT_MS, self._beat)
+
     def drain(self) -> None:
         """Take no more: what still comes is refused, and only open requests keep their connection.
 
@@ -148,8 +154,9 @@
                     self._server.end_idle(silent=True)
 
     async def close(self) -> None:
-        if self._sweeping is not None:
-            self._sweeping.cancel()
+        for alarm in (self._sweeping, self._beating):
+            if alarm is not None:
+                alarm.cancel()
         if self._listener is not None:
             self._listener.close()
         self._server.end_idle(silent=True)  # aiohttp would wait for each as for one with a request
--- a/beechslip/platform/links.py
+++ b/beechslip/platform/links.py
@@ -56,10 +56,10 @@
 class Link(asyncio.Protocol):
     """One connection. Its pool counts it from its dial until ``connection_lost``."""
 
-    __slots__ = ("_parser", "_pool", "_transport", "_waiter", "freed_ms", "key", "last")
+    __slots__ = ("_parser", "_pool", "_sock", "_transport", "_waiter", "freed_ms", "key", "last")
 
-    def __init__(self, pool: Pool, key: Key) -> None:
-        self._pool, self.key = pool, key
+    def __init__(self, pool: Pool, key: Key, sock: socket.socket) -> None:
+        self._pool, self.key, self._sock = pool, key, sock
         self._transport: asyncio.Transport | None = None
         self._parser: AnswerParser | None = None
         self._waiter: asyncio.Future[Told] | None = None
@@ -74,16 +74,31 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
-    def ask(self, message: bytes, most: int) -> asyncio.Future[Told]:
-        """Write a request; its whole answer, or Lost or Spoilt."""
+    def ask(self, message: bytes, most: int) -> asyncio.Future[Told] | None:
+        """Write a request; its whole answer, or Lost or Spoilt. ``None``: not a byte of it can be sent now."""
+        sent = self._send_first(message)
+        if sent == 0:
+            return None
         self._parser = AnswerParser(most)
         self._waiter = asyncio.get_running_loop().create_future()
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None or self._transport.is_closing() or sent is None:
             self._waiter.set_exception(Lost("closed before the first byte"))
-        else:
-            self._transport.write(message)
+        elif sent < len(message):
+            self._transport.write(message[sent:])
         return self._waiter
 
+    def _send_first(self, message: bytes) -> int | None:
+        """Bytes sent at once; a transport would keep what the kernel has no room for, and send it when it is old.
+        ``None``: the connection has ended."""
+        if self._transport is None or self._transport.is_closing():
+            return None
+        try:
+            return self._sock.send(message)
+        except BlockingIOError:
+            return 0
+        except OSError:
+            return None
+
     def data_received(self, data: bytes) -> None:
         if self._parser is None or self._waiter is None or self._waiter.done():
             # Nobody has asked: a second copy or noise, which must not become the next request's answer.
@@ -224,7 +239,7 @@
         address, made = parse_address(key[1]), list[Link]()
 
         def make() -> Link:
-            made.append(Link(self, key))
+            made.append(Link(self, key, sock))
             return made[0]
         self._dialling += 1
         try:
--- a/beechslip/platform/server.py
+++ b/beechslip/platform/server.py
@@ -13,11 +13,14 @@
 from beechslip.clock import Clock
 from beechslip.counters import Counters
 from beechslip.platform.parse import BadRequest
+from beechslip.platform.sockets import PatientSocket
 
 log = logging.getLogger("beechslip.front")
 
 # A client that sends nothing, or half a request, is owed an end within 3 s of connecting; 60 MB within 6 s.
 READ_MS = 2_200.0  # from connecting, or from a later request's first byte, until the request is whole
+PIECES_MS = 20.0  # reads that follow one another so closely bring pieces of what was there together
+BEAT_MS, STALL_MS = 50.0, 50.0  # how often the loop tells that it runs; later than by this, it has stood still
 IDLE_MS = 5_000.0  # after an answer; clients close after 4 s, and some keep their connection for good
 KEEPALIVE_S = 86_400.0  # aiohttp's own timer is of no use here: the sweep ends idle connections
 UNPARSED = 65_536  # bytes of commands beyond aiohttp's queue that a client may send ahead
@@ -43,13 +46,14 @@
 class Connection(web.RequestHandler):
     """A client's connection, with what the bound and the time limits go by."""
 
-    __slots__ = ("_ahead", "_begun", "_stamps", "_tail", "_tells_state", "answering", "arrived_ms", "departed",
-                 "house", "in_hand", "partial", "read_ms", "since_ms", "wire")
+    __slots__ = ("_ahead", "_begun", "_held_ms", "_looked_ms", "_sock", "_stamps", "_tail", "_tells_state",
+                 "answering", "arrived_ms", "departed", "house", "in_hand", "partial", "read_ms", "since_ms",
+                 "wire")
 
     house: BoundedServer
 
-    def settle(self, house: BoundedServer) -> Connection:
-        self.house = house
+    def settle(self, house: BoundedServer, sock: PatientSocket | None) -> Connection:
+        self.house, self._sock = house, sock
         self.since_ms = self.read_ms = house.clock.now_ms()  # since when it has been as it is; its last bytes
         self.partial, self.answering = True, False  # a new one owes a request
         self.wire: asyncio.Transport | None = None  # also while it is being closed, unlike aiohttp's own
@@ -61,6 +65,7 @@
         self._tail = END  # the last bytes: whether they end a request
         self._ahead = 0  # bytes read while aiohttp's queue of requests was full
         self._tells_state = False
+        self._looked_ms = self._held_ms = 0.0  # when bytes were read last, and for how long they had waited
         return self
 
     @property
@@ -112,7 +117,7 @@
 
     def data_received(self, data: bytes) -> None:
         if data:  # aiohttp gives itself none, to go on with what it has
-            self.read_ms, self._begun = self.house.clock.now_ms(), True
+            self.read_ms, self._begun = self._arrival_ms(), True
             self._tail = (self._tail + data[-4:])[-4:]
             if not self.partial and not self.answering:
                 self.partial, self.since_ms = True, self.read_ms
@@ -125,6 +130,18 @@
         super().data_received(data)
         self._stamps.extend([self.read_ms] * (len(self._messages) - queued))
 
+    def _arrival_ms(self) -> float:
+        """When what has just been read came, at the earliest: the client's time runs from then.
+
+        Guards against a client's time that is told too long, after calls that had failed or a loop that stood still.
+        """
+        now_ms = self.house.clock.now_ms()
+        held_ms = max(self._sock.take_held_ms() if self._sock is not None else 0.0, self.house.stalled_ms())
+        if now_ms - self._looked_ms < PIECES_MS:  # a piece of what had waited as a whole: reads may be short
+            held_ms = max(held_ms, self._held_ms)
+        self._looked_ms, self._held_ms = now_ms, held_ms
+        return now_ms - held_ms
+
     def next_in_hand(self, body: Any) -> None:
         """aiohttp takes the next request from its queue."""
         self.in_hand = body
@@ -163,7 +180,7 @@
 
     def answered(self) -> None:
         """A request on it has its answer; what has come behind it is the next one's beginning."""
-        self.answering, self.in_hand = False, None
+        self.answering, self.in_hand, self._held_ms = False, None, 0.0
         self.partial = self._begun = self.more
         self.since_ms = self.house.clock.now_ms()
         self.house.changed(self)
@@ -191,17 +208,27 @@
         self._ending: set[Connection] = set()  # closed here, perhaps with an answer still to be sent
         self.settled = asyncio.Event()
         self._logged_ms, self._logged = 0.0, 0
+        self._beat_ms = 0.0
 
-    def __call__(self) -> web.RequestHandler:
+    def __call__(self, sock: PatientSocket | None = None) -> web.RequestHandler:
         # None is aiohttp's way to have no access log, though its annotation has no room for it. Lingering
         # would read on for 10 s from a client that is refused while it sends 60 MB.
         return Connection(self, loop=self._loop, access_log=None,  # type: ignore[arg-type]
-                           keepalive_timeout=KEEPALIVE_S, lingering_time=0.0).settle(self)
+                           keepalive_timeout=KEEPALIVE_S, lingering_time=0.0).settle(self, sock)
 
     def _make_request(self, message: Any, payload: Any, protocol: Any, *how: Any) -> web.BaseRequest:
         protocol.next_in_hand(payload)
         return super()._make_request(message, payload, protocol, *how)
 
+    def beat(self) -> None:
+        """Note that the loop runs, every ``BEAT_MS``."""
+        self._beat_ms = self.clock.now_ms()
+
+    def stalled_ms(self) -> float:
+        """How long the loop has stood still, right after it did; 0 as long as it runs."""
+        still_ms = self.clock.now_ms() - self._beat_ms
+        return still_ms if still_ms > BEAT_MS + STALL_MS and self._beat_ms else 0.0
+
     def ended(self, one: Connection) -> None:
         """A connection's descriptor is given back."""
         self._open.pop(one, None)
--- a/beechslip/platform/sockets.py
+++ b/beechslip/platform/sockets.py
@@ -5,6 +5,7 @@
 import errno
 import logging
 import socket
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -23,6 +24,13 @@
 class PatientSocket(socket.socket):
     """A socket whose transport waits where the kernel has no room for the moment, in place of breaking."""
 
+    held_since: float | None = None  # since when what it brings may have waited here (of ``time.monotonic``)
+
+    def take_held_ms(self) -> float:
+        """How long what has just been read may have waited, as the calls that bring it had failed."""
+        since, self.held_since = self.held_since, None
+        return 0.0 if since is None else (time.monotonic() - since) * 1000.0
+
     def send(self, data: Any, flags: int = 0, /) -> int:
         try:
             return super().send(data, flags)
@@ -33,7 +41,10 @@
         try:
             return super().recv(size, flags)
         except OSError as error:
-            raise _retried(error) from None
+            retried = _retried(error)
+            if retried is not error and self.held_since is None:
+                self.held_since = time.monotonic()
+            raise retried from None
 
 
 def _retried(error: OSError) -> OSError:
@@ -60,10 +71,12 @@
 class Listener:
     """Owns a listening socket, and gives each connection that comes a protocol of its own."""
 
-    def __init__(self, sock: socket.socket, make: Callable[[], asyncio.BaseProtocol], counters: Counters) -> None:
+    def __init__(self, sock: socket.socket, make: Callable[[PatientSocket], asyncio.BaseProtocol],
+                 counters: Counters) -> None:
         self._sock, self._make, self._counters = sock, make, counters
         self._loop = asyncio.get_running_loop()
         self._resting: asyncio.TimerHandle | None = None
+        self._failing_since: float | None = None  # connections that come then may have waited since
         self._starting: set[asyncio.Task[Any]] = set()
         self.port: int = sock.getsockname()[1]
         sock.setblocking(False)
@@ -79,21 +92,24 @@
         try:
             accepted, _ = self._sock.accept()
         except (BlockingIOError, InterruptedError):
+            self._failing_since = None  # nobody waits
             return False
         except OSError as error:
+            self._failing_since = self._failing_since or time.monotonic()
             self._counters.add(f"accept.{errno.errorcode.get(error.errno or 0, 'failed').lower()}")
             self._rest()
             return False
         sock = PatientSocket(fileno=accepted.detach())
+        sock.held_since = self._failing_since
         sock.setblocking(False)
         task = self._loop.create_task(self._start(sock))
         self._starting.add(task)
         task.add_done_callback(self._starting.discard)
         return True
 
-    async def _start(self, sock: socket.socket) -> None:
+    async def _start(self, sock: PatientSocket) -> None:
         try:
-            await self._loop.connect_accepted_socket(self._make, sock)
+            await self._loop.connect_accepted_socket(lambda: self._make(sock), sock)
         except Exception:
             # Guards against a connection that is lost while it is taken.
             self._counters.add("accept.lost")
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -97,6 +97,26 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def service(seeds: Annotated[int, typer.Option(min=1, max=10_000)] = 50,
+            first: Annotated[int, typer.Option(min=0)] = 1,
+            workers: Annotated[int, typer.Option(min=1, max=16)] = 4) -> None:
+    """Play seeded soaks of one real doorman process. Exits with 1 if a rule was broken, and names the seed."""
+    from lab import service_soak
+
+    failed = served = 0
+    with ProcessPoolExecutor(workers) as pool:
+        for seed, found in zip(range(first, first + seeds), pool.map(service_soak.soak, range(first, first + seeds)),
+                               strict=True):
+            failed += bool(found.broken)
+            served += found.served
+            for what in found.broken[:3]:
+                console.print(f"seed {seed}: {what}", markup=False, soft_wrap=True)
+    console.print(f"{seeds} seeds from {first}, {served} requests served, {failed} seeds with a broken rule")
+    if failed:
+        raise typer.Exit(1)
+
+
 @app.command()
 def search(units: int = 2, restarts: int = 1, repeats: int = 0, renews: int = 0, most: int = 5_000_000,
            deep: bool = False, plant: Plant = "") -> None:
