A purge told in an event that is asked for again binds from its first telling on

Cause: ChangeLog._bind (platform/changelog.py) left purges out. Change: it posts them, as it does drains; told again they change nothing.

--- a/beechslip/platform/changelog.py
+++ b/beechslip/platform/changelog.py
@@ -132,11 +132,13 @@
         self.take(seq, news)
 
     def _bind(self, seq: int, news: list[Listing | Purged]) -> None:
-        """Post the drains of an event that is asked for once more.
+        """Post the purges and drains of an event that is asked for once more.
 
-        Guards against a log that ends right then: the drains that it has told bind all the same.
+        Guards against a log that ends right then: what it has told binds all the same.
         """
         for one in news:
+            if isinstance(one, Purged):
+                self._post(one)  # once more when it is told again, which changes nothing
             ending = () if isinstance(one, Purged) else tuple(d for d in one.depots if d.state != "ready")
             if ending:
                 self._early |= {depot.name: seq for depot in ending}
