--- a/beechslip/platform/changelog.py
+++ b/beechslip/platform/changelog.py
@@ -26,14 +26,15 @@
 
 
 class ChangeLog:
-    """Follows the change log from a number on and posts what it tells. Each event is told once, in order; the drains
-    of one that is asked for again also at once, as they bind from the first telling on."""
+    """Follows the change log from a number on and posts what it tells. Each event is told once, in order; the purges
+    and drains of one that is asked for again at once, as they bind from the first telling on."""
 
     def __init__(self, address: Address, last: int, post: Callable[[Listing | Purged], None],
                  counters: Counters, known: Iterable[Listing | Purged] = (), grace_s: float = 0.0) -> None:
         self.last, self._post, self._counters = last, post, counters
         self.grace_s = grace_s  # after which a drain binds; 0: not told
         self._early: dict[str, int] = {}  # depots out of service by an event still to be taken, with its number
+        self._early_purges: set[tuple[int, Purged]] = set()  # posted already, by an event still to be taken
         self._roster = Roster()
         self._believing: asyncio.TimerHandle | None = None
         for one in known:
@@ -138,7 +139,8 @@
         """
         for one in news:
             if isinstance(one, Purged):
-                self._post(one)  # once more when it is told again, which changes nothing
+                self._early_purges.add((seq, one))
+                self._post(one)
             ending = () if isinstance(one, Purged) else tuple(d for d in one.depots if d.state != "ready")
             if ending:
                 self._early |= {depot.name: seq for depot in ending}
@@ -155,7 +157,11 @@
             return
         self.last = seq
         self._early = {name: number for name, number in self._early.items() if number > seq}
+        early = {purge for number, purge in self._early_purges if number == seq}
+        self._early_purges = {(number, purge) for number, purge in self._early_purges if number > seq}
         for one in news:
+            if one in early:
+                continue
             if isinstance(one, Listing) and self._early:
                 one = Listing(one.kind, tuple(
                     replace(depot, state="draining") if depot.state == "ready" and depot.name in self._early
