The guards are asked anew where a first byte can't be sent at once; long lists in one log line

Cause: the wait for room in the kernel (DepotClient._ask) began after the guards: a client could go, a drain or a purge be told, before the first byte. Change: may_start is asked before each try and counts once; lists of over 256 depots are told in one line.

--- a/beechslip/core/engine.py
+++ b/beechslip/core/engine.py
@@ -48,6 +48,7 @@
 # answers that are nearly there: some clients wait little longer than the sending takes.
 MARGIN_MS, LAST_MARGIN_MS = 8.0, 4.0
 LOGGED = 20  # lines a second about requests that were not served: under overload each costs needed CPU
+LOGGED_DEPOTS = 256  # lines of one list: a longer one is told in a line, as thousands would hold up the loop
 HELD_BY_DEFAULT = 20_000
 NO_CAP = 1_000  # attempts, where the settings name no number
 PURGES_KEPT = 4_096  # purges that attempts still to be sent are checked against
@@ -385,13 +386,17 @@
         self.counters.add("sent")
 
     def _may_start(self, opened: Open, flight: Flight) -> bool:
-        """Asked right before the first byte: dialling takes time, and a drain may have been told since."""
+        """Asked right before the first byte: dialling takes time, and a drain may have been told since.
+
+        Asked again where the first byte could not be sent at once; it counts once.
+        """
         if not self._guards_hold(opened, flight):
             return False
-        if self._spender is not None and not self._spender.spend(flight.order, opened.sent > 0):
-            return False
+        if not flight.started:
+            if self._spender is not None and not self._spender.spend(flight.order, opened.sent > 0):
+                return False
+            opened.sent += 1
         flight.started, flight.sent_ms = True, self.clock.now_ms()
-        opened.sent += 1
         return True
 
     def _guards_hold(self, opened: Open, flight: Flight) -> bool:
@@ -511,8 +516,11 @@
                 self._started.pop(depot.name, None)
             else:
                 self._depots[depot.name] = depot
-            log.info("depot %s %s %s %s %s weight %g since %.0f", depot.name, depot.address, depot.zone,
-                     depot.kind, depot.state, depot.weight, depot.started_ms)
+            if len(depots) <= LOGGED_DEPOTS:
+                log.info("depot %s %s %s %s %s weight %g since %.0f", depot.name, depot.address, depot.zone,
+                         depot.kind, depot.state, depot.weight, depot.started_ms)
+        if len(depots) > LOGGED_DEPOTS:
+            log.info("%d depots listed (%s)", len(depots), listing.kind)
         self._prober.follow(self._depots)
         self._give(None, i.StoreList(listing.kind, tuple(
             i.StoreEntry(store=d.name, kind=d.kind, zone=d.zone, state=d.state, weight=d.weight, cell=d.cell,
--- a/beechslip/core/model.py
+++ b/beechslip/core/model.py
@@ -110,7 +110,7 @@
     async def carry(self, order: Order, may_start: Callable[[], bool]) -> Ended:
         """Ask ``may_start`` right before the first byte; False means that nothing may be sent.
 
-        The attempt counts as sent from a True on.
+        The attempt counts as sent from a True on. It may be asked again while no byte could be sent.
         """
         ...
 
--- a/beechslip/platform/depots.py
+++ b/beechslip/platform/depots.py
@@ -75,6 +75,9 @@
             except BaseException:
                 link.end()
                 raise
+            if not may_start():  # its client has gone, or a drain or a purge was told meanwhile
+                self._pool.give_back(link)
+                return Ended("moot")
             message = compose()
         try:
             told = await answer
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -7,6 +7,7 @@
 import random
 import secrets
 import signal
+import socket
 import time
 from collections.abc import AsyncIterator
 from dataclasses import replace
@@ -17,8 +18,9 @@
 
 from aldershed import interface as i
 from beechslip.core.model import Purged
+from beechslip.platform.sockets import PatientSocket
 from lab.stand import OK, Stand, StandDepot, fetch, read_message, run, until
-from tests.test_endings import Gated, client, command, following
+from tests.test_endings import Gated, client, command, connections, following
 from tests.test_program import ROOT, Program, program
 from tests.test_record import pick, stage
 from tests.test_rules import ERROR, Plan, TellingLog
@@ -232,6 +234,29 @@
         assert len(depot.seen) == 1
 
 
+@run
+async def test_a_client_that_goes_while_the_first_byte_can_not_be_sent_gets_no_attempt(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async with Stand(depot := StandDepot("a"), module=Plan("a")) as stand:
+        full = asyncio.Event()
+
+        def send(sock: PatientSocket, data: bytes, flags: int = 0) -> int:
+            if data.startswith(b"GET /data"):
+                full.set()
+                raise BlockingIOError
+            return socket.socket.send(sock, data, flags)
+        monkeypatch.setattr(PatientSocket, "send", send)
+        async with client(stand.port) as one:
+            one.send(command())
+            await full.wait()
+            (connection,) = connections(stand)
+        await until(lambda: connection.departed)
+        monkeypatch.undo()
+        await until(lambda: not stand.engine._open)
+        await asyncio.sleep(0.05)
+        assert not depot.seen
+
+
 # More system calls ------------------------------------------------------------------------------------------
 
 
