--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,32 +2,27 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from pathlib import Path
 
 import pytest
 
 from beechslip.store import Store, open_store
+from tests.known_red import KnownFailure, read, without_group
 from tests.pg_stand import PgStand
 
-KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 
-
-def known_red() -> dict[str, str]:
-    """Tests that may fail, by name (``tests/FILE.py::TEST``), with the rest of their line."""
-    if not KNOWN_RED.exists():
-        return {}
-    lines = [line for line in KNOWN_RED.read_text().splitlines() if line.strip() and not line.startswith("#")]
-    return {name.strip(): why.strip() for name, _, why in (line.partition(",") for line in lines)}
+def mark_known_failures(items: list[pytest.Item], known: Mapping[str, KnownFailure]) -> None:
+    """Have exactly the listed tests pass over a failure, and pytest print them (``-rxX``)."""
+    for item in items:
+        failure = known.get(without_group(item.nodeid))
+        if failure is not None:
+            reason = f"KNOWN-RED: {failure.seen} ({failure.command}; issue {failure.issue})"
+            item.add_marker(pytest.mark.xfail(reason=reason, strict=False))
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    known = known_red()
-    for item in items:
-        test = item.nodeid.partition("[")[0].partition("@")[0]  # less its parameters and its xdist group
-        why = known.get(test)
-        if why is not None:
-            item.add_marker(pytest.mark.xfail(reason=f"KNOWN-RED: {why}", strict=False))
+    mark_known_failures(items, read())
 
 
 @pytest.fixture(params=["sqlite", "postgresql"])
