--- a/beechslip/config.py
+++ b/beechslip/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import logging
 import math
 import os
 import tomllib
@@ -17,6 +18,7 @@
 from beechslip.routing.wire.settings import read_settings
 
 DEFAULT_SOCKETS = 1024
+LOG_LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
 MAX_PORT = 65535
 MAX_FD_DIGITS = 7
 PER_CLASS_LISTS = ("goesThrough", "maxAge", "staleFor")  # settings that are lists in the order of the classes
@@ -36,6 +38,14 @@
 TRANSIENT_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EIO, errno.EINTR, errno.EAGAIN})
 
 
+def log_level(environ: Mapping[str, str]) -> int:
+    """The level that EDGE_LOG names (``debug`` has a line for each request and attempt); ConfigError for another."""
+    name = environ.get("EDGE_LOG") or "info"
+    if name not in LOG_LEVELS:
+        raise ConfigError(f"EDGE_LOG is none of {', '.join(LOG_LEVELS)}: {name!r:.60}")
+    return LOG_LEVELS[name]
+
+
 @dataclass(frozen=True, slots=True)
 class Address:
     """Where something listens: an IP address or a name, and a port."""
--- a/beechslip/core/engine.py
+++ b/beechslip/core/engine.py
@@ -185,16 +185,18 @@
         if request is None:
             return
         if request.refusal_is_safe():
-            self._close(request, FinalResponse("refused", retry_after_ms=to_ms(action.retry_after)))
+            retry_after_ms = to_ms(action.retry_after)
+            response = FinalResponse("refused", retry_after_ms=retry_after_ms, reason=action.reason)
+            self._close(request, response)
         else:
-            self._close(request, FinalResponse("failed"))
+            self._close(request, FinalResponse("failed", reason=action.reason))
 
     def _fail(self, action: interface.Fail) -> None:
         request = self._requests.by_id.get(action.request)
         if request is None:
             return
         late = self.clock.now_ms() >= request.deadline_ms - LATE_FAILURE_MS
-        self._close(request, FinalResponse("failed", cause="deadline" if late else ""))
+        self._close(request, FinalResponse("failed", cause="deadline" if late else "", reason=action.reason))
 
     # Requests -------------------------------------------------------------------------------------
 
@@ -208,7 +210,8 @@
             return
         if len(self._requests.by_id) >= (self.settings.max_open_requests or DEFAULT_MAX_OPEN_REQUESTS):
             retry_after_ms = to_ms(self.settings.max_retry_after)
-            self._responder.respond(request, FinalResponse("refused", retry_after_ms=retry_after_ms))
+            response = FinalResponse("refused", retry_after_ms=retry_after_ms, reason="too many open requests")
+            self._responder.respond(request, response)
             return
         self._requests.add(request)
         now_ms = self.clock.now_ms()
@@ -220,6 +223,7 @@
         if request is None or request.response_sink is not message.response_sink:
             return
         self.counters.add("left")
+        self._responder.log_client_gone(request)
         self._remove(request)
         self._abandon(request)
 
@@ -274,6 +278,7 @@
         elapsed_ms = max((result.at_ms or now_ms) - attempt.sent_ms, 0.0)
         outcome = to_outcome(spec, result, elapsed_ms, request_ended=request is None)
         self._attempts.report(attempt, result, elapsed_ms)
+        self._responder.log_attempt(spec, result, elapsed_ms)
         self._tell_router(spec.call.id, outcome)
 
     # Endpoint lists and purges --------------------------------------------------------------------
--- a/beechslip/core/model.py
+++ b/beechslip/core/model.py
@@ -103,6 +103,7 @@
     payload: Payload | None = None
     retry_after_ms: float = 0.0
     cause: Literal["", "deadline", "duplicate", "fault", "sent before"] = ""
+    reason: str = ""  # the router's, for the log
 
 
 class AttemptExecutor(Protocol):
--- a/beechslip/core/responses.py
+++ b/beechslip/core/responses.py
@@ -1,11 +1,15 @@
-"""Final responses: each is counted, and logged where the request was not served."""
+"""Final responses: each is counted, and logged where the request was not served.
+
+The log level DEBUG has a line for every request that ends and for every attempt; ``bench/service_by_size.py`` reads
+those of the requests.
+"""
 
 from __future__ import annotations
 
 import logging
 
 from beechslip.clock import Clock
-from beechslip.core.model import FinalResponse
+from beechslip.core.model import AttemptRequest, AttemptResult, FinalResponse
 from beechslip.core.requests import OpenRequest
 from beechslip.counters import Counters
 
@@ -16,7 +20,7 @@
 
 
 class Responder:
-    """Hands out final responses. Counts ``answered.KIND``."""
+    """Hands out final responses. Counts ``answered.KIND`` and ``ended.REASON`` (spaces as underscores)."""
 
     def __init__(self, clock: Clock, counters: Counters) -> None:
         """``clock`` dates the log lines' periods and the requests' ages."""
@@ -28,21 +32,56 @@
     def respond(self, request: OpenRequest, response: FinalResponse) -> None:
         """Give a request its final response; the caller sees to it that there is only one."""
         self._counters.add(f"answered.{response.kind}")
-        if response.kind != "served" and self._may_log():
-            self._log(request, response)
+        if response.reason:
+            self._counters.add(f"ended.{response.reason.replace(' ', '_')}")
+        if log.isEnabledFor(logging.DEBUG):
+            self._log(logging.DEBUG, request, response)
+        elif response.kind != "served" and self._may_log():
+            self._log(logging.INFO, request, response)
         request.response_sink.answer(response)
 
-    def _log(self, request: OpenRequest, response: FinalResponse) -> None:
+    def log_client_gone(self, request: OpenRequest) -> None:
+        """Note that a client has left before its response."""
+        if log.isEnabledFor(logging.DEBUG):
+            call = request.call
+            age_ms = self._clock.now_ms() - call.arrived_ms
+            log.debug(
+                "%s %s left after %.0f of %.0f ms, %.0f KB",
+                call.id,
+                call.class_name,
+                age_ms,
+                call.wait_ms,
+                call.size_kb,
+            )
+
+    def log_attempt(self, spec: AttemptRequest, result: AttemptResult, elapsed_ms: float) -> None:
+        """Note how an attempt ended; what comes next for its request follows from it."""
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug(
+                "%s attempt %d at %s from %s: %s %s after %.0f ms",
+                spec.call.id,
+                spec.number,
+                spec.backend.name,
+                spec.source or "-",
+                result.result,
+                result.note or "-",
+                elapsed_ms,
+            )
+
+    def _log(self, level: int, request: OpenRequest, response: FinalResponse) -> None:
         call = request.call
-        log.info(
-            "%s %s %s after %.0f of %.0f ms, attempts %d, retry %.0f %s",
+        log.log(
+            level,
+            "%s %s %s after %.0f of %.0f ms, %.0f KB, attempts %d, retry %.0f, %s %s",
             call.id,
             call.class_name,
             response.kind,
             self._clock.now_ms() - call.arrived_ms,
             call.wait_ms,
+            call.size_kb,
             request.attempts_named,
             response.retry_after_ms,
+            response.reason or "-",
             response.cause,
         )
 
--- a/beechslip/process.py
+++ b/beechslip/process.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from beechslip.config import Config, ConfigError, ConfigUnreadableError, read_config
+from beechslip.config import Config, ConfigError, ConfigUnreadableError, log_level, read_config
 from beechslip.platform.sockets import LOCAL_RESOURCE_ERRORS
 from beechslip.proxy import Proxy
 
@@ -85,6 +85,7 @@
     """Run one proxy as the environment describes it; returns the exit code."""
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(name)s %(message)s")
     try:
+        log.setLevel(log_level(os.environ))
         config = _retry(read_config, ConfigUnreadableError)
     except ConfigError as error:
         log.error("%s", error)
--- a/beechslip/routing/dispatch.py
+++ b/beechslip/routing/dispatch.py
@@ -52,7 +52,9 @@
         settings = self._context.settings
         rule = settings.classes.get(event.class_name)
         if rule is None or event.time_left <= SAFETY_TICKS * settings.tick:
-            self._context.actions.append(i.Refuse(event.request, self._retries.retry_after()))
+            self._context.actions.append(
+                i.Refuse(event.request, self._retries.retry_after(), "deadline" if rule else "unknown class")
+            )
             return
         request = self._estimates.open_request(event, rule)
         self._admission.record_arrival(request)
@@ -78,7 +80,7 @@
         request.reached_backend = request.reached_backend or outcome.result not in NEVER_SENT
         fill_failed = self._evidence.blame_for_request(request, attempt, outcome)
         if not self._retries.may_retry(request, fill_failed):
-            self._give_up(request)
+            self._give_up(request, self._reason_without_retry(request, outcome))
             return
         self._retries.spend()
         self._send(request)
@@ -98,13 +100,13 @@
                 request.first_unproven_at = attempt.sent_at
         for request in list(self._requests.open.values()):
             request.last_look_made = True  # no last attempt either
-            self._give_up(request)
+            self._give_up(request, "shutdown")
 
     def _send(self, request: OpenRequest) -> None:
         """Make the next attempt on the ordinary path, or end the request if there is no way."""
         cache, source = self._selector.choose_route(request)
         if cache is None or (source is None and request.rule.write):
-            self._give_up(request)
+            self._give_up(request, "shed" if request.shed else "no backend")
             return
         if cache in self._endpoints.cache_set and not self._admission.may_fill(request, source):
             source = None
@@ -156,7 +158,13 @@
         grace = 0.0 if source else rule.grace
         return self._freshness.oldest_allowed(request, rule.fresh + grace if rule.fresh else 0.0)
 
-    def _give_up(self, request: OpenRequest) -> None:
+    def _reason_without_retry(self, request: OpenRequest, outcome: i.Outcome) -> i.EndReason:
+        """Why a request has no further attempt after this outcome."""
+        if outcome.result == "timeout" or request.deadline - self._context.now <= self._context.settings.tick:
+            return "deadline"
+        return "not cached" if request.last_look_made else "retries"
+
+    def _give_up(self, request: OpenRequest, reason: i.EndReason) -> None:
         """End a request at once: a permitted stale copy, else rejected if that is harmless, else failed."""
         cache = self._choose_stale_copy(request)
         if cache is not None:
@@ -165,9 +173,9 @@
             return
         del self._requests.open[request.request_id]
         if self._retries.is_harmless_to_repeat(request):
-            final: i.Action = i.Refuse(request.request_id, self._retries.retry_after())
+            final: i.Action = i.Refuse(request.request_id, self._retries.retry_after(), reason)
         else:
-            final = i.Fail(request.request_id)
+            final = i.Fail(request.request_id, reason)
         self._context.actions.append(final)
 
     def _choose_stale_copy(self, request: OpenRequest) -> Backend | None:
--- a/beechslip/routing/interface.py
+++ b/beechslip/routing/interface.py
@@ -15,6 +15,16 @@
 """Changed entries, all entries, all entries as remembered (perhaps old), or a refused subscription."""
 
 
+EndReason: TypeAlias = Literal[
+    "", "shed", "no backend", "not cached", "deadline", "retries", "shutdown", "unknown class"
+]
+"""Why a request ends without an answer, for the log.
+
+Rejected for load, no backend to send it to, not cached where a fill was not permitted, no time left, no
+further attempt permitted or worth its while, the program ends, or a class without a rule.
+"""
+
+
 @dataclass(frozen=True, slots=True)
 class ClassRule:
     """What the site says of one class of request."""
@@ -271,6 +281,7 @@
 
     request: str
     retry_after: float = 0.0
+    reason: EndReason = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -278,6 +289,7 @@
     """Final answer: failed, with no promise about what it did."""
 
     request: str
+    reason: EndReason = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/beechslip/routing/selection.py
+++ b/beechslip/routing/selection.py
@@ -37,6 +37,7 @@
 
     def choose_route(self, request: OpenRequest) -> Route:
         """The cache and the source of the next attempt, straight to a parent where no cache is left."""
+        request.shed = False
         cache = self.choose_cache(request)
         source = self.choose_source(request)
         if cache is not None or source is None or not self._context.settings.direct:
@@ -44,9 +45,9 @@
         if not self._is_zone_closed(request):
             return Route(None, source)
         # No cache is listed: straight to the parent, where the site permits it and the parent has room.
-        admitted = request.rule.write or self._admission.admits(request, [source])
+        request.shed = not (request.rule.write or self._admission.admits(request, [source]))
         origin = self._endpoints.origin
-        direct = source if admitted else None
+        direct = None if request.shed else source
         ready = origin is not None and origin.entry.state == "ready"
         if source is not origin and origin and ready and self._slow_start.allows(origin, request):
             source = origin
@@ -96,7 +97,8 @@
         return min(usable, key=lambda b: (self._is_gone(b), b in request.avoided), default=None)
 
     def _admitted(self, request: OpenRequest, cache: Backend) -> Backend | None:
-        return cache if self._admission.admits(request, self._sample(request, cache)) else None
+        request.shed = not self._admission.admits(request, self._sample(request, cache))
+        return None if request.shed else cache
 
     def _sample(self, request: OpenRequest, cache: Backend) -> list[Backend]:
         """Caches that fit a request: all of a small station, a part of a large one that differs by copy."""
--- a/beechslip/routing/state.py
+++ b/beechslip/routing/state.py
@@ -110,6 +110,7 @@
         "request_id",
         "resend_lost_answer",
         "rule",
+        "shed",
         "source_key",
         "transfer_time",
     )
@@ -131,3 +132,4 @@
         self.last_look_made = False  # a look without a fill was sent, after which there is no other attempt
         self.resend_lost_answer = False  # the next attempt may go to the same cache
         self.reached_backend = False
+        self.shed = False  # the last choice of a route rejected it for load
