A stop of the whole process counts against its clients' time, also while it waited for events

Cause: BoundedServer.stalled_ms compares with the last beat of the loop. A process that is stopped inside its wait for events runs its due timers first when it goes on (the wait ends without events), so the beat was fresh when the bytes were read. Evidence: tests/test_terms.py, a process stopped for 0.25, 0.6 and 1.5 s: all three failed before, pass now. Change: a late beat notes the stall, and what is read within 20 ms after it may have come during it; beats come each 25 ms and count as late after 25 ms more, so that a stall that goes unnoticed is under 50 ms (100 before).

--- a/beechslip/platform/server.py
+++ b/beechslip/platform/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -20,8 +21,9 @@
 # A client that sends nothing, or a part of a request, must be closed within 3 s of connecting; 60 MB within 6 s.
 READ_MS = 2_200.0  # from connecting, or from a later request's first byte, until the request is complete
 IDLE_MS = 5_000.0  # after a response; clients close after 4 s, and some keep their connection for good
-LOOP_BEAT_MS = 50.0  # how often the event loop records that it runs
-STALL_MS = 50.0  # a record later than by this shows a stall
+LOOP_BEAT_MS = 25.0  # how often the event loop records that it runs
+STALL_MS = 25.0  # a record later than by this shows a stall
+AFTER_STALL_MS = 20.0  # within this after a stall all that waited is read
 # Seconds of aiohttp's own timer, which is of no use here: ``sweep`` closes idle connections.
 KEEPALIVE_S = 86_400.0
 LOGGED_PER_S = 10  # lines a second about bad requests: in a flood each would cost CPU that the others need
@@ -51,6 +53,8 @@
         self._log_window_ms = 0.0  # when the current second of log lines began
         self._logged = 0  # lines in it
         self._loop_beat_ms = 0.0
+        self._stall_began_ms = 0.0  # the last record before the last stall
+        self._stall_ended_ms = -math.inf
 
     def __call__(self, sock: RetryingSocket | None = None) -> web.RequestHandler:
         """The protocol of a new connection on ``sock``."""
@@ -69,13 +73,26 @@
         return super()._make_request(message, payload, protocol, *how)
 
     def record_loop_beat(self) -> None:
-        """Record that the event loop runs; to be called every LOOP_BEAT_MS."""
-        self._loop_beat_ms = self.clock.now_ms()
+        """Record that the event loop runs; to be called every LOOP_BEAT_MS.
+
+        A process that was stopped while it waited for events runs its timers first, and reads what came meanwhile
+        after them: so a late record notes the stall for the reads that follow it.
+        """
+        now_ms = self.clock.now_ms()
+        if self._is_stall(now_ms):
+            self._stall_began_ms = self._loop_beat_ms
+            self._stall_ended_ms = now_ms
+        self._loop_beat_ms = now_ms
 
     def stalled_ms(self) -> float:
-        """How long the event loop did not run, right after it; 0 as long as it runs."""
-        since_beat_ms = self.clock.now_ms() - self._loop_beat_ms
-        return since_beat_ms if since_beat_ms > LOOP_BEAT_MS + STALL_MS and self._loop_beat_ms else 0.0
+        """How long what is read now may have waited, as the event loop did not run; 0 as long as it runs."""
+        now_ms = self.clock.now_ms()
+        if self._is_stall(now_ms):
+            return now_ms - self._loop_beat_ms
+        return now_ms - self._stall_began_ms if now_ms - self._stall_ended_ms < AFTER_STALL_MS else 0.0
+
+    def _is_stall(self, now_ms: float) -> bool:
+        return bool(self._loop_beat_ms) and now_ms - self._loop_beat_ms > LOOP_BEAT_MS + STALL_MS
 
     def connection_closed(self, connection: ClientConnection) -> None:
         """A connection's descriptor has been given back."""
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -153,6 +153,33 @@
 # A purge is received before an attempt is written -----------------------------------------------------------------
 
 
+# Guards against a process that was stopped while it waited for events: its clients' time had run on.
+@run
+@pytest.mark.parametrize("stopped_s", [0.25, 0.6, 1.5])
+async def test_a_stopped_process_passes_on_no_more_time_than_the_client_has_left(
+    tmp_path: Path, stopped_s: float
+) -> None:
+    async with faulty(tmp_path) as one, client(one.world.port) as there:
+        there.send(command(wait_ms=4000))
+        await there.reader.readuntil(b"waveform/7f3a")
+        process = one.world.process
+        assert process is not None
+        process.send_signal(signal.SIGSTOP)
+        there.send(command("/rpc/waveform/8a4b", wait_ms=4000))
+        await asyncio.sleep(stopped_s)
+        process.send_signal(signal.SIGCONT)
+        backends = one.world.backends
+        target = "/data/waveform/8a4b/0"
+        await until(lambda: any(target in first for backend in backends for first, _, _ in backend.seen))
+        (patience_ms,) = (
+            float(fields["X-Patience"])
+            for backend in backends
+            for first, fields, _ in backend.seen
+            if target in first
+        )
+        assert patience_ms <= 4000.0 - stopped_s * 1000.0 + SLACK_MS
+
+
 @run
 @pytest.mark.parametrize("purge", [PurgeReceived("7f3a", 0, 0.0), PurgeReceived("", 17, 0.0)])
 async def test_an_attempt_that_waits_for_its_connection_respects_a_purge_received_meanwhile(
