Failing first: the largest requests under lasting overload, three real proxies on loopback

The reproduction: three proxy processes before two caches, a parent and an origin whose links are shared by their transfers (lab/link_backends.py), 16 s of requests at 1.7 and 2.5 times what the caches' links carry, or with fills that outgrow the parents; judged from the proxies' own logs. Bound 0.6 of the class's share, for the largest tenth and the next fifth.

--- /dev/null
+++ b/tests/test_served_by_size.py
@@ -0,0 +1,155 @@
+"""Three real proxies under lasting overload: the largest requests of a class against the class (incident b01a72)."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import copy
+import json
+import random
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from bench.service_by_size import folder_shares
+from lab.link_backends import LinkBackend
+from lab.processes import spawn
+from lab.stand import SETTINGS, StandLog, fetch, free_port, line, listening
+
+PROXIES = 3
+OBJECTS = 400
+FLOW_KB_S = 6400.0  # as in SETTINGS
+WAIT_MS = 2_500
+PLAY_S = 16.0
+LEAST_RATIO = 0.6  # of the class's served share, to the largest tenth and to the next fifth
+SIZES_S = ((0.7, 0.02, 0.08), (0.9, 0.15, 0.3), (1.0, 0.5, 0.8))  # up to this quantile: transfer times at full pace
+
+
+@dataclass(frozen=True)
+class Overload:
+    """What is overloaded, and by how much."""
+
+    cache_links: float  # transfers at full pace of each cache
+    parent_links: float
+    cached: float  # fraction of the objects that the caches hold
+    reports: bool  # responses carry load reports
+    load: float  # of what the caches' links carry
+
+
+OVERLOADS = {
+    "cache links": Overload(cache_links=3.0, parent_links=50.0, cached=1.0, reports=True, load=2.5),
+    "cache links without reports": Overload(cache_links=3.0, parent_links=50.0, cached=1.0, reports=False, load=1.7),
+    "fills": Overload(cache_links=6.0, parent_links=0.7, cached=0.3, reports=True, load=0.9),
+}
+
+
+class Play:
+    """The world of one play: backends, proxies and requests; the proxies' logs tell what came of each."""
+
+    def __init__(self, folder: Path, overload: Overload) -> None:
+        self.folder, self.overload, self.rng = folder, overload, random.Random(11)
+        self.ports = [free_port() for _ in range(PROXIES)]
+        caches = [LinkBackend(name, overload.cache_links) for name in ("a", "b")]
+        parent = LinkBackend("hub", overload.parent_links, kind="parent", zone="north")
+        origin = LinkBackend("archive", overload.parent_links, kind="origin", zone="north")
+        self.backends = [*caches, parent, origin]
+        self.work_s = {f"{number:04x}": self._draw_work() for number in range(OBJECTS)}
+        for backend in self.backends:
+            backend.work_s, backend.reports = self.work_s, overload.reports
+            backend.sources = {source.name: source for source in (parent, origin)}
+        for cache in caches:
+            cache.cached = {name for name in self.work_s if self.rng.random() < overload.cached}
+
+    def _draw_work(self) -> float:
+        quantile = self.rng.random()
+        low, high = next((low, high) for top, low, high in SIZES_S if quantile <= top)
+        return self.rng.uniform(low, high)
+
+    @contextlib.asynccontextmanager
+    async def proxies(self) -> AsyncIterator[None]:
+        log = StandLog()
+        server = await asyncio.start_server(log.serve, "127.0.0.1", 0)
+        log.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        links = [asyncio.create_task(backend.link.run()) for backend in self.backends]
+        async with listening(*self.backends):
+            processes = [await self._start(number, log.address) for number in range(PROXIES)]
+            try:
+                await asyncio.gather(*(self._ready(port) for port in self.ports))
+                yield
+            finally:
+                for process in processes:
+                    process.kill()
+                    await process.wait()
+                for link in links:
+                    link.cancel()
+                server.close()
+
+    async def _start(self, number: int, log_address: str) -> asyncio.subprocess.Process:
+        settings: dict[str, Any] = copy.deepcopy(SETTINGS)
+        settings |= {"me": number, "balancers": PROXIES}
+        settings["specifics"]["instancesByZone"] = [0, PROXIES]
+        if not self.overload.reports:
+            settings["loadReport"] = {"columns": [], "how": "none"}
+        listed = {"index": 1, "snapshot": True, "endpoints": [line(backend) for backend in self.backends]}
+        config = {
+            "name": f"n{number}",
+            "listen": f"127.0.0.1:{self.ports[number]}",
+            "seed": f"{number + 1:016x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "changelog": log_address,
+            "known": {"seq": 1, "results": [{"seq": 1, "fleet": listed}]},
+            "settings": settings,
+        }
+        path = self.folder / f"n{number}.json"
+        path.write_text(json.dumps(config))
+        return await spawn(
+            ["-m", "beechslip"], self.folder / f"n{number}.log", EDGE_CONFIG=str(path), EDGE_LOG="debug"
+        )
+
+    async def _ready(self, port: int) -> None:
+        while True:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                if (await fetch(port, "/health"))[0] == 200:
+                    return
+            await asyncio.sleep(0.02)
+
+    async def load(self) -> None:
+        """Requests at an even pace, each to one of the proxies in turn."""
+        capacity = sum(backend.link.capacity for backend in self.backends if backend.kind == "std-box")
+        mean_s = sum(self.work_s.values()) / len(self.work_s)
+        pause_s = mean_s / (self.overload.load * capacity)
+        loop = asyncio.get_running_loop()
+        began, tasks = loop.time(), list[asyncio.Task[None]]()
+        for number in range(int(PLAY_S / pause_s)):
+            await asyncio.sleep(max(began + number * pause_s - loop.time(), 0.0))
+            tasks.append(asyncio.create_task(self._request(number)))
+        await asyncio.gather(*tasks)
+
+    async def _request(self, number: int) -> None:
+        name = self.rng.choice(list(self.work_s))
+        size_kb = self.work_s[name] * FLOW_KB_S
+        await fetch(
+            self.ports[number % PROXIES],
+            f"/rpc/waveform/{name}?slice=0",
+            wait_ms=WAIT_MS,
+            Req_Id=f"{number:016x}",
+            Req_Kb=f"{size_kb:.1f}",
+        )
+
+
+# Guards against shedding, refused fills and time-outs that fall on the largest requests of a class for good.
+@pytest.mark.parametrize("name", OVERLOADS)
+def test_the_largest_requests_of_a_class_are_served_nearly_as_often_as_the_class(tmp_path: Path, name: str) -> None:
+    play = Play(tmp_path, OVERLOADS[name])
+
+    async def run() -> None:
+        async with play.proxies():
+            await play.load()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+    (found,) = folder_shares(tmp_path)
+    assert found.requests >= 400 and found.served < 0.98, "the play overloads nothing"
+    assert min(found.ratios) >= LEAST_RATIO, found
