All ten result notes are read where the site tells all

What callers saw: on sites that tell all notes (gallery-edge) failed fills counted as the cache's own: other caches were asked, through the same source, and the fill throttle learned nothing. Cause: NOTES knew four of the ten words of X-Result. Change: the words are read; sites that tell hits only see the four that they name. Measured: tests/test_parse.py, six new cases, all failed before, pass now.

--- a/beechslip/platform/backend_messages.py
+++ b/beechslip/platform/backend_messages.py
@@ -12,9 +12,24 @@
 MAX_STATS = 16  # values of a load report
 
 # The notes of X-Result in the decision module's words.
-NOTES = {"local": "hit", "pulled": "filled", "rode": "joined", "expired": "stale"}
+NOTES = {
+    "local": "hit",
+    "pulled": "filled",
+    "pulled_far": "filled_origin",
+    "rode": "joined",
+    "expired": "stale",
+    "turned_away": "source_refused",
+    "cut_off": "source_lost",
+    "not_there": "source_lacks",
+    "no_place": "no_place",
+    "far_fault": "origin_failed",
+}
 # Which notes the decision module may see, by the site's setting ``tells``.
-VISIBLE_NOTES = {"all": frozenset(NOTES.values()), "hit": frozenset(NOTES.values()), "": frozenset[str]()}
+VISIBLE_NOTES = {
+    "all": frozenset(NOTES.values()),
+    "hit": frozenset({"hit", "filled", "joined", "stale"}),
+    "": frozenset[str](),
+}
 # The fields of X-Stats in the module's words. X-Stats names them as the settings do: a site may say `util`
 # or `cpu` for the same figure, and a word that is missing here would hide it from the module.
 STATS = {"util": "busy", "cpu": "busy", "inflight": "held", "active": "held", "x0": "hit_share", "x1": "link"}
--- a/tests/test_parse.py
+++ b/tests/test_parse.py
@@ -158,6 +158,25 @@
 CACHED = Payload(b"b", "4b")
 
 
+# Guards against failed fills that are laid to the cache, as their notes were not read.
+@pytest.mark.parametrize(
+    ("status", "word", "result", "note"),
+    [
+        (200, "pulled_far", "ok", "filled_origin"),
+        (503, "turned_away", "full", "source_refused"),
+        (503, "no_place", "full", "no_place"),
+        (500, "cut_off", "error", "source_lost"),
+        (500, "not_there", "error", "source_lacks"),
+        (500, "far_fault", "error", "origin_failed"),
+    ],
+)
+def test_all_notes_are_read_where_the_site_tells_all(status: int, word: str, result: str, note: str) -> None:
+    fields = STAMP | {"x-result": word, "x-declined": "1"}
+    for tells, visible in (("all", note), ("hit", ""), ("", "")):
+        found = parse_backend_response(status, fields, b"b", tells, "", False)
+        assert (found.result, found.note) == (result, visible)
+
+
 @pytest.mark.parametrize(
     ("status", "fields", "tells", "want"),
     [
