A request whose bytes can't be sent in the time left is rejected at once

What callers saw: large requests that come with little time left (retries above all) ran for their whole wait and ended without an answer; beside them the links of the caches were shared by one transfer more each, and the largest with time enough ran out of it as well. Cause: an attempt was made for any request with 4 ms left, whatever its size; a transfer at full pace is known from Req-Kb and the site's pace. Change: Estimates.can_be_sent_in_time is asked on arrival and before each further attempt; 1.1 times the transfer time is the least. Writes, sizes that are not told, and clients that hold a copy (Request.conditional) are sent as before.

--- a/beechslip/core/requests.py
+++ b/beechslip/core/requests.py
@@ -87,6 +87,7 @@
         group=call.group,
         size_kb=call.size_kb,
         time_left=to_seconds(request.deadline_ms - now_ms),
+        conditional=bool(call.tag),
     )
 
 
--- a/beechslip/routing/dispatch.py
+++ b/beechslip/routing/dispatch.py
@@ -48,7 +48,7 @@
         self._evidence = evidence
 
     def on_request(self, event: i.Request) -> None:
-        """Open a request and send its first attempt; one without a rule or time is rejected at once."""
+        """Open a request and send its first attempt; one without a rule or the time is rejected at once."""
         settings = self._context.settings
         rule = settings.classes.get(event.class_name)
         if rule is None or event.time_left <= SAFETY_TICKS * settings.tick:
@@ -57,6 +57,9 @@
             )
             return
         request = self._estimates.open_request(event, rule)
+        if not self._estimates.can_be_sent_in_time(request):
+            self._context.actions.append(i.Refuse(event.request, self._retries.retry_after(), "deadline"))
+            return
         self._admission.record_arrival(request)
         self._requests.open[request.request_id] = request
         self._retries.earn()
--- a/beechslip/routing/estimates.py
+++ b/beechslip/routing/estimates.py
@@ -13,6 +13,7 @@
 OVERDUE_FRACTION = 0.05  # of answers, later than what counts as overdue
 OVERDUE_STEP = 0.05  # change of the factor by one late answer, as a fraction of it
 MAX_OVERDUE_FACTOR = 4.0  # times half the latency objective
+LEAST_STRETCH = 1.1  # times its transfer time that an answer takes at the least, with all ways and waits
 MAX_COPIES = 20_000  # copies whose sending time is remembered where requests do not tell the size
 
 
@@ -39,6 +40,21 @@
             request.transfer_time = self.copy_transfer_time.get(request.key, expected)
         return request
 
+    def can_be_sent_in_time(self, request: OpenRequest) -> bool:
+        """Whether the client waits long enough for the bytes, at full pace on a free link.
+
+        Unknown sizes and requests that may need no bytes can always be.
+        """
+        event = request.event
+        if (
+            not event.size_kb
+            or self._context.settings.flow_kb_s <= 0
+            or event.conditional
+            or request.rule.write
+        ):
+            return True
+        return request.transfer_time * LEAST_STRETCH <= request.deadline - self._context.now
+
     def class_transfer_time(self, rule: i.ClassRule) -> float:
         """Mean transfer time of a class, s; before any is seen, as much as its objective would hold."""
         return self.mean_transfer_time.get(rule.name) or rule.latency_objective or DEFAULT_OBJECTIVE_S
--- a/beechslip/routing/interface.py
+++ b/beechslip/routing/interface.py
@@ -120,6 +120,7 @@
     size_kb: float = 0.0
     time_left: float = 0.0
     repeat: bool = False
+    conditional: bool = False  # the client has a copy: the answer may need no bytes
 
 
 @dataclass(frozen=True, slots=True)
--- a/beechslip/routing/retries.py
+++ b/beechslip/routing/retries.py
@@ -50,6 +50,8 @@
         max_attempts = min(settings.max_attempts or MAX_ATTEMPTS, MAX_ATTEMPTS)
         if request.deadline - now <= margin or request.attempts >= max_attempts:
             return False
+        if not self._estimates.can_be_sent_in_time(request):
+            return False
         rule = request.rule
         if request.first_unproven_at is None or rule.effect == "safe":
             return True
