Each size band of a class is guaranteed a part of the class's accepted share

Cause: Admission.admits and may_fill rank by priority weight for each second of sending alone; the largest always rank last, and a retry ranks as its first try did. Change: size_fairness.py. Each stage (admission, fills) keeps a deficit counter for the largest tenth and for the next fifth of each class, as in deficit round robin: 0.8 of the class's accepted share is due, and while a band is owed its next request is accepted whatever its density. A band may run 4 requests ahead, which costs less in short troubles, and be owed 2.

--- a/beechslip/routing/admission.py
+++ b/beechslip/routing/admission.py
@@ -6,6 +6,7 @@
 
 from beechslip.routing.concurrency import ConcurrencyLimits
 from beechslip.routing.context import CLOCK_GRAIN_S, Context
+from beechslip.routing.size_fairness import GuaranteedShares, SizeBands
 from beechslip.routing.slow_start import SlowStart
 from beechslip.routing.state import Backend, OpenRequest
 
@@ -28,9 +29,13 @@
         self._limits = limits
         self._slow_start = slow_start
         self._densities: deque[float] = deque(maxlen=RECENT_REQUESTS)
+        self._bands = SizeBands()
+        self._admitted_shares = GuaranteedShares()
+        self._fill_shares = GuaranteedShares()
 
     def record_arrival(self, request: OpenRequest) -> None:
         """Count a request among the recent ones."""
+        self._bands.classify(request)
         self._densities.append(self._density(request))
 
     def may_fill(self, request: OpenRequest, source: Backend | None) -> bool:
@@ -39,7 +44,10 @@
         Covers full links, a slow origin, mass purges. Harm: a look at a missing copy is rejected at once.
         """
         fraction = self._limits.fill_throttle(source).fraction
-        return fraction >= 1.0 or request.rule.write or self._rank(request) > 1.0 - fraction
+        by_density = fraction >= 1.0 or request.rule.write or self._rank(request) > 1.0 - fraction
+        if request.fill_accepted is None:
+            request.fill_accepted = self._fill_shares.decide(request, by_density)
+        return by_density or request.fill_accepted
 
     def admits(self, request: OpenRequest, usable: list[Backend]) -> bool:
         """Whether the request ranks high enough for the fullness of the backends that it could use.
@@ -48,9 +56,11 @@
         keeps the many in time. Harm: some that would just have fitted are rejected.
         """
         fullness = self.fullness(usable)
-        if fullness <= SHED_FROM:
-            return True
-        return self._rank(request) > (fullness - SHED_FROM) / (SHED_ALL - SHED_FROM)
+        threshold = (fullness - SHED_FROM) / (SHED_ALL - SHED_FROM)
+        by_density = threshold <= 0.0 or self._rank(request) > threshold
+        if request.admitted is None:
+            request.admitted = self._admitted_shares.decide(request, by_density)
+        return by_density or request.admitted
 
     def fullness(self, backends: list[Backend]) -> float:
         """By our own attempts over the learned limits, or by all that is reported over the links."""
@@ -73,12 +83,16 @@
         if TEACHING_LINK < busy <= BUSY_LINK and self._slow_start.warmth(cache) >= 1.0:
             step = CAPACITY_STEP if cache.link_capacity else 1.0
             cache.link_capacity += (in_progress / busy - cache.link_capacity) * step
-        weight = cache.entry.weight
-        capacity = weight if self._context.weights_are_capacities and weight > 0 else cache.link_capacity
+        capacity = self._link_capacity(cache)
         if capacity > 0:
             cache.reported_at = self._context.now
             cache.reported_load = (busy > BUSY_LINK) * in_progress / capacity
 
+    def _link_capacity(self, cache: Backend) -> float:
+        """Transfers at full pace that a cache's link carries, as stated or as learned; 0: unknown."""
+        weight = cache.entry.weight
+        return weight if self._context.weights_are_capacities and weight > 0 else cache.link_capacity
+
     def _density(self, request: OpenRequest) -> float:
         return (request.rule.priority_weight or 1.0) / max(request.transfer_time, CLOCK_GRAIN_S)
 
--- a/beechslip/routing/state.py
+++ b/beechslip/routing/state.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from enum import Enum
 from typing import NamedTuple
 
 from beechslip.routing import interface as i
@@ -94,15 +95,26 @@
         self.overdue_checks = 0
 
 
+class SizeBand(Enum):
+    """Bands of a class by size, the largest requests first."""
+
+    LARGEST = 0
+    NEXT_LARGEST = 1
+    REST = 2
+
+
 class OpenRequest:
     """A request that awaits its final answer."""
 
     __slots__ = (
+        "admitted",
         "arrived_at",
         "attempts",
         "avoided",
+        "band",
         "deadline",
         "event",
+        "fill_accepted",
         "first_unproven_at",
         "key",
         "last_look_made",
@@ -133,3 +145,6 @@
         self.resend_lost_answer = False  # the next attempt may go to the same cache
         self.reached_backend = False
         self.shed = False  # the last choice of a route rejected it for load
+        self.band = SizeBand.REST
+        self.admitted: bool | None = None  # whatever its density; None: not decided yet
+        self.fill_accepted: bool | None = None  # the same of a fill
