Late answers of caches count by their work

What callers saw: caches on which small requests were on time and the largest ran out of time, for as long as the load lasted. Cause: ConcurrencyLimits tolerated one late answer in ten by count; the largest tenth of a class holds a third of its bytes and could be late or lost whole. Change: late and timely answers weigh by transfer time over the class's mean, and a limit grows by the weight of an answer, one at the most.

--- a/beechslip/routing/concurrency.py
+++ b/beechslip/routing/concurrency.py
@@ -52,8 +52,9 @@
         if result == "timeout" and outcome.elapsed <= objective / 2.0:
             return  # the client's patience was short: that says nothing of how much is carried here
         late = result in ("full", "timeout") or (result == "ok" and outcome.elapsed > objective)
+        weight = request.transfer_time / self._estimates.class_transfer_time(request.rule)
         if is_parent:  # straight to it: unchecked, a lost station's requests crowd out all
-            self._adjust_limit(cache, late, TOLERATED_LATE_FILLS, attempt.sent_at)
+            self._adjust_limit(cache, late, TOLERATED_LATE_FILLS, attempt.sent_at, weight)
             return
         self._learn_from_fill(attempt, outcome, late)
         # Without notes "full" is perhaps the source's word; if the cache is full its answers come late too.
@@ -61,7 +62,7 @@
         notes_stated = self._context.settings.tells
         unexplained = not outcome.note and result != "full" and (attempt.source is None or not notes_stated)
         if outcome.note in ("hit", "no_place") or unexplained:
-            self._adjust_limit(cache, late, TOLERATED_LATE_CACHE, attempt.sent_at)
+            self._adjust_limit(cache, late, TOLERATED_LATE_CACHE, attempt.sent_at, weight)
 
     def record_fill(self, attempt: AttemptInFlight, late: bool, tolerated: float) -> None:
         """Count a fill that came or is late by now: those that hang would tell of a jam too late."""
@@ -82,10 +83,12 @@
         if source in self._endpoints.parent_set:
             self._adjust_limit(source, late or failed, tolerated, attempt.sent_at)
 
-    def _adjust_limit(self, backend: Backend, late: bool, tolerated: float, sent_at: float) -> None:
+    def _adjust_limit(
+        self, backend: Backend, late: bool, tolerated: float, sent_at: float, weight: float = 1.0
+    ) -> None:
         """Cut on too many late answers, grow on timely ones while half the limit is in use."""
-        if backend.lateness.record(self._context.now, late, tolerated, sent_at):
+        if backend.lateness.record(self._context.now, late, tolerated, sent_at, weight):
             used = min(backend.concurrency_limit, backend.in_flight + 1.0)
             backend.concurrency_limit = max(used * LIMIT_CUT, MIN_LIMIT)
         elif not late and backend.in_flight >= backend.concurrency_limit / 2.0:
-            backend.concurrency_limit += LIMIT_GROWTH / backend.concurrency_limit
+            backend.concurrency_limit += LIMIT_GROWTH * min(weight, 1.0) / backend.concurrency_limit
--- a/beechslip/routing/tallies.py
+++ b/beechslip/routing/tallies.py
@@ -38,16 +38,16 @@
         self.timely = Tally()
         self.cut_at = -math.inf
 
-    def record(self, now: float, late: bool, tolerated: float, sent_at: float) -> bool:
-        """Count an answer; True calls for a cut.
+    def record(self, now: float, late: bool, tolerated: float, sent_at: float, weight: float = 1.0) -> bool:
+        """Count an answer by its weight; True calls for a cut.
 
         That is when more than the ``tolerated`` fraction is late and this late one was sent after the last
         cut: answers that were in flight then tell nothing of its effect.
         """
         if not late:
-            self.timely.add(now, 1.0)
+            self.timely.add(now, weight)
             return False
-        self.late.add(now, 1.0)
+        self.late.add(now, weight)
         if not self.exceeds(now, tolerated, 0.0) or sent_at <= self.cut_at:
             return False
         self.cut_at = now
@@ -69,9 +69,9 @@
         self._updated_at = 0.0
         self._cut_factor = cut_factor
 
-    def record(self, now: float, late: bool, tolerated: float, sent_at: float) -> None:
+    def record(self, now: float, late: bool, tolerated: float, sent_at: float, weight: float = 1.0) -> None:
         """Count a fill that was sent at ``sent_at``; too many late ones cut, timely ones restore by time."""
-        if self.lateness.record(now, late, tolerated, sent_at):
+        if self.lateness.record(now, late, tolerated, sent_at, weight):
             self.fraction = max(self.fraction * self._cut_factor, MIN_FILL_FRACTION)
         elif not late:
             # By time, not by fill: a proxy of a large fleet sees few, and would recover for minutes.
--- a/tests/routing/test_concurrency.py
+++ b/tests/routing/test_concurrency.py
@@ -135,3 +135,18 @@
             issued = stage.in_flight.pop(key)
             stage.give(i.Outcome(*key, issued.backend, "ok", 0.1, True, "filled", report={"link": 9.0}))
     assert stage.router.limits.parent_fills.fraction < 0.5
+
+
+# Guards against a link on which only the few largest answers are late, and run out of time.
+def test_late_answers_count_by_their_work() -> None:
+    stage = Stage()
+    home = home_of(stage, "/a")
+    stage.in_flight.clear()
+    for n in range(40):
+        stage.ask("/a", name=f"s{n}", size=40.0)
+        stage.end((f"s{n}", 0), "ok", "hit")
+    for n in range(3):
+        stage.ask("/a", name=f"l{n}", size=8000.0)
+        stage.now += 4.5
+        stage.end((f"l{n}", 0), "ok", "hit")
+    assert stage.router.endpoints.backends[home].concurrency_limit < math.inf
