The pace of hits tells a full link where no load report does

What callers saw: at caches whose load reports don't tell what their link carries (none are sent, or the link was never idle enough to learn from) transfers took five to seven times their time at full pace. Small ones were on time, the largest ended without an answer. Cause: fullness came from reports with a known capacity or from learned limits; the limits fall with answers that are late by their class's aim, which small hits meet at any such pace, and each cut waits for answers sent after the last. Evidence: the reproduction without reports: hits at 5.2 to 7.2 times their transfer time for ten seconds, limits from 11 to 3 in nine seconds, 41 of 65 unserved largest out of time. Change: Admission.record_pace: a hit of 0.1 s or more tells its cache's pace; from twice the transfer time on it counts like a report, at three times the cache is full. Known capacities go before it.

--- a/beechslip/routing/admission.py
+++ b/beechslip/routing/admission.py
@@ -16,6 +16,10 @@
 BUSY_LINK = 0.9  # fraction of a link in use, above which it counts as full
 TEACHING_LINK = 0.4  # fraction of a link in use that teaches what it carries
 CAPACITY_STEP = 0.05  # weight of one more report
+PACED_FROM_S = 0.1  # transfer time of a hit that tells its cache's pace
+PACE_STEP = 0.3  # weight of one more hit
+BUSY_PACE = 2.0  # times the transfer time that hits take on a link that is shared by too many
+FULL_PACE = 3.0  # times at which its cache is full
 REPORT_LIFETIME_S = 1.0  # s for which a load report counts
 RECENT_REQUESTS = 100  # requests whose density is remembered, for ranking the next
 
@@ -88,6 +92,19 @@
             cache.reported_at = self._context.now
             cache.reported_load = (busy > BUSY_LINK) * in_progress / capacity
 
+    def record_pace(self, cache: Backend, request: OpenRequest, elapsed: float) -> None:
+        """Where no load report tells what a link carries, take the pace of a hit for one.
+
+        Small hits are on time at a pace at which the largest never end. Harm: where all hits are small, a jam
+        goes unseen.
+        """
+        too_small = not request.event.size_kb or request.transfer_time < PACED_FROM_S
+        if too_small or self._link_capacity(cache) > 0:
+            return
+        cache.pace += (elapsed / request.transfer_time - cache.pace) * PACE_STEP
+        cache.reported_at = self._context.now
+        cache.reported_load = (cache.pace > BUSY_PACE) * cache.pace / FULL_PACE * OVERLOADED_FROM
+
     def _link_capacity(self, cache: Backend) -> float:
         """Transfers at full pace that a cache's link carries, as stated or as learned; 0: unknown."""
         weight = cache.entry.weight
--- a/beechslip/routing/outcomes.py
+++ b/beechslip/routing/outcomes.py
@@ -141,6 +141,8 @@
             self._estimates.learn_patience(request, outcome.elapsed)
             self._estimates.learn_copy(request, outcome.elapsed)
             work = request.transfer_time
+            if outcome.note == "hit":
+                self._admission.record_pace(cache, request, outcome.elapsed)
         filled = outcome.note in FILLED
         tells = self._context.settings.tells
         cache.successes.add(now, 1.0)
--- a/beechslip/routing/state.py
+++ b/beechslip/routing/state.py
@@ -35,6 +35,7 @@
         self.lateness = Lateness()
         self.reported_load = 0.0  # requests of its last report over those that its link carries
         self.reported_at = 0.0
+        self.pace = 1.0  # time of its recent hits over their transfer time
         self.link_capacity = 0.0  # transfers at full pace that its link is seen to carry; 0: unknown
         self.unanswered = Lateness()  # overdue answers: late are those that never came
         self.successes = Tally()
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -85,3 +85,24 @@
     small = attempts(stage.ask("/tiny", size=4.0))[0]
     assert 2 * least < len(looks) < len(asked) and all(a in looks for a in asked[:1]) and small.source in PARENTS
     assert [type(a) for a in finals(stage.end((looks[-1].request, 0), "miss"))] == [i.Refuse]
+
+
+# Guards against links without load reports on which small hits are on time and the largest never end.
+@pytest.mark.parametrize(
+    ("known_capacity", "size", "passes_on"), [(0.0, 800.0, True), (8.0, 800.0, False), (0.0, 40.0, False)]
+)
+def test_where_no_report_tells_what_a_link_carries_the_pace_of_hits_tells_a_full_one(
+    known_capacity: float, size: float, passes_on: bool
+) -> None:
+    stage = Stage()
+    home = home_of(stage, "/a")
+    stage.in_flight.clear()
+    stage.router.endpoints.backends[home].link_capacity = known_capacity
+    asked = set()
+    for n in range(12):
+        asked.add(attempts(stage.ask("/a", name=f"h{n}", size=size))[0].backend)
+        stage.now += 4.0 * size / SETTINGS.flow_kb_s
+        stage.end((f"h{n}", 0), "ok", "hit")
+    assert home in asked and (len(asked) > 1) == passes_on
+    stage.now += 2.0  # an old pace says nothing
+    assert home_of(stage, "/a") == home
