Refused clients are told to return at different moments

Cause: RetryPolicy.retry_after is the time to the soonest trial of an ejected backend, the same instant for all. Change: the wait is spread by up to half of itself. tests/routing/test_retries.py: failed before (one value), passes now.

--- a/beechslip/routing/retries.py
+++ b/beechslip/routing/retries.py
@@ -13,6 +13,7 @@
 MAX_ATTEMPTS = 4  # home, next in rank, another source, a stale look; more only feeds a fire
 MAX_UNSEEN_FRACTION = 0.45  # of its time, after which a request that no backend has seen is ended
 DEFAULT_RETRY_AFTER_S = 0.5  # s: the first ejection's time
+RETURN_SPREAD = 0.5  # of the wait, over which the clients' returns are spread
 SAFETY_TICKS = 2  # clock ticks left at a deadline or a window's end
 
 
@@ -77,7 +78,7 @@
     def retry_after(self) -> float:
         """Seconds after which a rejected client may return; 0 where the site does not tell clients.
 
-        After the soonest trial of what is ejected.
+        After the soonest trial of what is ejected, spread out: told one instant, all clients return at once.
         """
         settings = self._context.settings
         if not settings.retry_after:
@@ -86,6 +87,7 @@
         candidates = self._endpoints.caches + self._endpoints.parents
         waits = [b.ejected_until - now for b in candidates if b.ejected and b.ejected_until > now]
         wait = max(min(waits, default=DEFAULT_RETRY_AFTER_S), DEFAULT_RETRY_AFTER_S / 2)
+        wait *= 1.0 + RETURN_SPREAD * self._context.random.random()
         return min(wait, settings.max_retry_after or DEFAULT_RETRY_AFTER_S)
 
 
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -102,3 +102,13 @@
         for key in list(stage.in_flight):
             stage.end(key, "ok", "hit")
     assert sum(count - 1 for count in stage.attempt_counts.values()) == struck
+
+
+# Guards against clients that are all told one instant, and return in one burst.
+def test_clients_are_told_to_return_at_different_moments() -> None:
+    stage = Stage()
+    for backend in stage.router.endpoints.backends.values():
+        stage.router.health.eject(backend)
+    waits = [stage.router.retries.retry_after() for _ in range(50)]
+    soonest = min(b.ejected_until for b in stage.router.endpoints.backends.values() if b.ejected) - stage.now
+    assert len(set(waits)) == 50 and min(waits) >= soonest and max(waits) - min(waits) > 0.2 * soonest
