--- a/bench/service_by_size.py
+++ b/bench/service_by_size.py
@@ -1,20 +1,25 @@
-"""The share of requests that are served, by size within each class, from the logs of proxies with EDGE_LOG=debug.
+"""The share of requests that are served, by size within each class: from logs of proxies or the bench's reports.
 
 The term (``STANDING.md``, "What has to hold"): of the tenth of a class's requests with the largest objects (the
 quarter of a class with under 400 requests), and of the next fifth, the share that is answered is at least two thirds
-of the class's on a quiet day and half on others. A client's further tries under the same id count as one request.
+of the class's on a quiet day and half on others. In logs (of proxies with EDGE_LOG=debug) each request id counts, so
+that a client's further tries under other ids are requests of their own; in reports each first try counts.
 
-    python -m bench.service_by_size FOLDER [FOLDER ...]     # a folder of *.log files a day
+    python -m bench.service_by_size PATH [PATH ...]     # a folder of *.log files a day, or a report (--json) of days
+
+Exits with 1 if a band of any day is under the term, 2 without a path.
 """
 
 from __future__ import annotations
 
+import json
 import re
 import sys
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 LINE = re.compile(
     r"beechslip\.engine (?P<id>\S+) (?P<class>\S+) (?P<end>served|refused|failed|left) after (?P<after>\d+) of "
@@ -22,6 +27,8 @@
 )
 SMALL_CLASS = 400  # requests, under which the largest quarter counts in place of the largest tenth
 LARGEST, LARGEST_OF_SMALL, NEXT = 0.1, 0.25, 0.2  # fractions of a class's requests, the largest first
+QUIET_DAY = "calm"  # in the name of a day without a fault
+QUIET_TERM, OTHER_TERM = 2.0 / 3.0, 0.5  # least ratio of a band's share to its class's
 DUPLICATE = "duplicate"  # of an open request: no request of its own
 
 
@@ -111,6 +118,44 @@
     return shares(read_logs(lines).values())
 
 
+def is_kept(day: str, shares_of_class: ClassShares) -> bool:
+    """Whether both bands of a class reach the term of such a day."""
+    return min(shares_of_class.ratios) >= (QUIET_TERM if QUIET_DAY in day else OTHER_TERM)
+
+
+def _answered(entry: Any) -> float:
+    counts = entry[0]
+    return counts["served"] / counts["offered"] if counts["offered"] else 0.0
+
+
+def report_shares(report: Any) -> list[tuple[str, ClassShares]]:
+    """The shares of each day of a bench's report, with the day's name.
+
+    ``largest`` holds three entries for each class: its largest requests, the next fifth, and all.
+    """
+    found = []
+    for day in report["days"]:
+        entries = day["largest"]
+        count = len(entries) // 3
+        for largest, following, whole in zip(
+            entries[:count], entries[count : 2 * count], entries[2 * count :], strict=True
+        ):
+            served = _answered(whole)
+            next_largest = _answered(following) if following[0]["offered"] else served
+            class_shares = ClassShares(
+                whole[0]["name"], int(whole[0]["offered"]), served, _answered(largest), next_largest, Counter()
+            )
+            found.append((day["name"], class_shares))
+    return found
+
+
+def path_shares(path: Path) -> list[tuple[str, ClassShares]]:
+    """The shares by day and class of a folder of logs or of a report."""
+    if path.is_dir():
+        return [(path.name, class_shares) for class_shares in folder_shares(path)]
+    return report_shares(json.loads(path.read_text()))
+
+
 def report_line(day: str, shares_of_class: ClassShares) -> str:
     """One line of the report."""
     of = shares_of_class
@@ -121,15 +166,15 @@
     return f"{day:34} {of.class_name:12} {of.requests:6} {shares_text}  {next_text}  largest unserved: {why}"
 
 
-def main(folders: Sequence[str]) -> int:
-    """Print the shares of each folder; 2 without a folder."""
-    if not folders:
+def main(names: Sequence[str]) -> int:
+    """Print the shares of each folder or report; returns the exit code."""
+    if not names:
         print(__doc__, file=sys.stderr)
         return 2
-    for name in folders:
-        for class_shares in folder_shares(Path(name)):
-            print(report_line(Path(name).name, class_shares))
-    return 0
+    found = [pair for name in names for pair in path_shares(Path(name))]
+    for day, class_shares in found:
+        print(report_line(day, class_shares) + ("" if is_kept(day, class_shares) else "  UNDER THE TERM"))
+    return 0 if all(is_kept(day, class_shares) for day, class_shares in found) else 1
 
 
 if __name__ == "__main__":
--- a/tests/test_service_by_size.py
+++ b/tests/test_service_by_size.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 from pathlib import Path
 from unittest.mock import Mock
@@ -72,3 +73,19 @@
     assert log_level({"EDGE_LOG": text}) == level
     with pytest.raises(ConfigError, match="EDGE_LOG"):
         log_level({"EDGE_LOG": "all"})
+
+
+def entry(offered: float, served: float) -> list[object]:
+    return [{"name": "waveform", "offered": offered, "served": served}, int(offered)]
+
+
+@pytest.mark.parametrize(
+    ("day", "largest", "kept"), [("calm+brink", 54.0, False), ("calm+brink", 61.0, True), ("zone+brink", 44.0, False)]
+)
+def test_a_report_of_the_bench_is_held_to_the_term(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], day: str, largest: float, kept: bool
+) -> None:
+    days = [{"name": day, "largest": [entry(100.0, largest), entry(0.0, 0.0), entry(1000.0, 900.0)]}]
+    (tmp_path / "report.json").write_text(json.dumps({"days": days}))
+    assert service_by_size.main([str(tmp_path / "report.json")]) == (0 if kept else 1)
+    assert ("UNDER THE TERM" in capsys.readouterr().out) is not kept
