--- a/tests/routing/test_concurrency.py
+++ b/tests/routing/test_concurrency.py
@@ -142,11 +142,12 @@
     stage = Stage()
     home = home_of(stage, "/a")
     stage.in_flight.clear()
-    for n in range(40):
+    for n in range(3):
+        stage.ask("/a", name=f"l{n}", size=8000.0)
+    stage.now += 4.5
+    for n in range(60):
         stage.ask("/a", name=f"s{n}", size=40.0)
         stage.end((f"s{n}", 0), "ok", "hit")
     for n in range(3):
-        stage.ask("/a", name=f"l{n}", size=8000.0)
-        stage.now += 4.5
         stage.end((f"l{n}", 0), "ok", "hit")
     assert stage.router.endpoints.backends[home].concurrency_limit < math.inf
