--- a/beechslip/routing/size_fairness.py
+++ b/beechslip/routing/size_fairness.py
@@ -13,13 +13,13 @@
 
 from beechslip.routing.state import OpenRequest, SizeBand
 
-GUARANTEED = 0.8  # of the class's accepted share, to each band
+GUARANTEED = 0.75  # of the class's accepted share, to each band
 LARGEST = 0.1  # fraction of a class's requests that its first band holds
 NEXT_LARGEST = 0.3  # the same of both bands
 RECENT_SIZES = 100  # requests of a class by which the next one's band is found
 SHARE_STEP = 0.05  # weight of one more request in the class's accepted share
 MAX_DEFICIT = 2.0  # requests that a band may be owed: older ones are forgiven
-MAX_CREDIT = 4.0  # requests that a band may be ahead
+MAX_CREDIT = 6.0  # requests that a band may be ahead
 
 
 class SizeBands:
