--- a/review/standins.py
+++ b/review/standins.py
@@ -453,8 +453,15 @@
 class Deployment:
     """One station: three depots, a parent, the origin, the change log, and a doorman's addresses and file."""
 
-    def __init__(self, record: Record, programs: Programs, handler: DepotHandler) -> None:
-        """Create the parts; the depots answer by ``handler``."""
+    def __init__(
+        self,
+        record: Record,
+        programs: Programs,
+        handler: DepotHandler,
+        overrides: dict[str, dict[str, Any]] | None = None,
+    ) -> None:
+        """Create the parts; the depots answer by ``handler``, and ``overrides`` replaces values of the settings."""
+        self._overrides = overrides or {}
         self.record = record
         self.programs = programs
         self.listen = free_address()
@@ -472,7 +479,10 @@
 
     def write_config(self, classes: list[dict[str, Any]]) -> Path:
         """Write the doorman's configuration file, and return its path."""
-        return self.programs.write_config("n1", self.listen, self.ops, self.log, settings_for(classes))
+        settings = settings_for(classes)
+        for table, values in self._overrides.items():
+            settings[table] = {**settings[table], **values}
+        return self.programs.write_config("n1", self.listen, self.ops, self.log, settings)
 
     async def doorman_ready(self) -> None:
         """Wait until the doorman takes clients. Raises CannotRunError if it does not in time."""
