Agent: a proxy that an operator drains is not ready, and no longer killed as hung

Change: a health check returns ready, not ready or no response. Only checks without a response count towards the end of a process; any response, and a connection that the proxy accepts and closes (a full front does so), ends the row. State and event `not ready` are new; a process that hangs, drained or not, is killed after three checks as before.

Evidence: tests/test_agent_health.py runs a real agent and proxy. On the code before, the drained proxy's requests end with IncompleteReadError; now all four are answered 200 by the same process. Its seven tests pass; one that stops a drained proxy with SIGSTOP shows that it is still found and replaced.

--- a/beechslip/agent/health.py
+++ b/beechslip/agent/health.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import Literal
 
-from beechslip.agent.process import ProxyLauncher
+from beechslip.agent.process import HealthStatus, ProxyLauncher
 from beechslip.agent.store_access import StoreAccess
 from beechslip.agent.supervised import SupervisedInstance
 from beechslip.store import Fence, Instance
 
 START_TIMEOUT_MS = 15_000.0
-"""Time for a started proxy to become healthy; failed health checks count only after it."""
+"""Time for a started proxy to respond; health checks without a response count only after it."""
 
 MAX_FAILED_HEALTH_CHECKS = 3
-"""Number of consecutive failed health checks after which a proxy is killed, to be restarted."""
+"""Number of consecutive health checks without a response after which a proxy is killed, to be restarted."""
 
 SERVED_SMOOTHING_WEIGHT = 0.5
 """Weight of the newest reading in the smoothed fraction of served requests."""
@@ -23,7 +24,7 @@
 
 
 class HealthChecker:
-    """Checks running processes, and kills those that fail too many checks in a row."""
+    """Checks running processes, and kills those that do not respond to too many checks in a row."""
 
     def __init__(self, access: StoreAccess, launcher: ProxyLauncher) -> None:
         """Record events with ``access``, and make the checks with ``launcher``."""
@@ -34,21 +35,30 @@
         self, instance: Instance, supervised: SupervisedInstance, now_ms: float, fence: Fence | None
     ) -> None:
         """Check the health of an instance whose process is running; ``now_ms`` is time of the agent's clock."""
-        if await self._launcher.is_healthy(instance):
-            await self._handle_passed_check(instance, supervised, fence)
-        elif supervised.state != "starting" or now_ms - supervised.started_ms >= START_TIMEOUT_MS:
-            await self._handle_failed_check(instance, supervised, fence)
-
-    async def _handle_passed_check(
-        self, instance: Instance, supervised: SupervisedInstance, fence: Fence | None
+        match await self._launcher.check_health(instance):
+            case HealthStatus.READY:
+                await self._handle_response(instance, supervised, "healthy", fence)
+            case HealthStatus.NOT_READY:
+                await self._handle_response(instance, supervised, "not ready", fence)
+            case HealthStatus.NO_RESPONSE:
+                if supervised.state != "starting" or now_ms - supervised.started_ms >= START_TIMEOUT_MS:
+                    await self._handle_missing_response(instance, supervised, fence)
+
+    async def _handle_response(
+        self,
+        instance: Instance,
+        supervised: SupervisedInstance,
+        state: Literal["healthy", "not ready"],
+        fence: Fence | None,
     ) -> None:
-        if supervised.state != "healthy":
-            await self._access.record_event(instance.name, "healthy", "", fence)
-        supervised.state = "healthy"
+        """Handle a response of the process, which is alive; it is "not ready" for example if it is drained."""
+        if supervised.state != state:
+            await self._access.record_event(instance.name, state, "", fence)
+        supervised.state = state
         supervised.failed_health_checks = 0
         await self._update_served_fraction(instance, supervised)
 
-    async def _handle_failed_check(
+    async def _handle_missing_response(
         self, instance: Instance, supervised: SupervisedInstance, fence: Fence | None
     ) -> None:
         supervised.failed_health_checks += 1
--- a/beechslip/agent/launcher.py
+++ b/beechslip/agent/launcher.py
@@ -11,7 +11,7 @@
 import aiohttp
 import orjson
 
-from beechslip.agent.process import ProxyProcess
+from beechslip.agent.process import HealthStatus, ProxyProcess
 from beechslip.agent.regions import ops_addresses
 from beechslip.config import Address, ConfigError, parse_address, read_config
 from beechslip.process import AGENT_VARIABLE
@@ -111,14 +111,14 @@
         writer.transport.abort()
         return False
 
-    async def is_healthy(self, instance: Instance) -> bool:
-        """True if ``GET /health`` at the instance's address returns status 200."""
+    async def check_health(self, instance: Instance) -> HealthStatus:
+        """Ask ``GET /health`` at the instance's address; status 200 means that it is ready."""
         try:
             listen = instance.listen or str(read_config(process_environment(instance)).listen)
             async with _session() as session, session.get(f"http://{listen}/health") as response:
-                return response.status == HTTP_OK
-        except (aiohttp.ClientError, OSError, TimeoutError, ConfigError):
-            return False
+                return HealthStatus.READY if response.status == HTTP_OK else HealthStatus.NOT_READY
+        except (aiohttp.ClientError, OSError, TimeoutError, ConfigError) as error:
+            return _health_status_after(error)
 
     async def counters(self, instance: Instance) -> dict[str, int] | None:
         """Return the instance's counters, or ``None`` if it has no operators' address or does not respond there."""
@@ -136,6 +136,14 @@
         return {str(name): value for name, value in page.items() if isinstance(value, int)}
 
 
+def _health_status_after(error: Exception) -> HealthStatus:
+    """Return what a health check that failed says about the process."""
+    if isinstance(error, (aiohttp.ClientConnectorError, TimeoutError, ConfigError)):
+        return HealthStatus.NO_RESPONSE
+    # It accepted the connection and ended it, for example for want of room for another one.
+    return HealthStatus.NOT_READY
+
+
 def _session() -> aiohttp.ClientSession:
     """Return a session for one request, which ignores the proxy settings of the environment."""
     return aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=PROXY_CALL_TIMEOUT_S), trust_env=False)
--- a/beechslip/agent/process.py
+++ b/beechslip/agent/process.py
@@ -2,11 +2,24 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import Protocol
 
 from beechslip.store import Instance
 
 
+class HealthStatus(StrEnum):
+    """The result of one health check.
+
+    A proxy that responds is alive, whatever it says: it may be drained by an operator, or have no room for another
+    connection. Only a missing response can mean that the process hangs.
+    """
+
+    READY = "ready"  # it takes clients
+    NOT_READY = "not ready"  # it responds, but not that it takes clients
+    NO_RESPONSE = "no response"  # nobody listens at its address, or no response came in time
+
+
 class ProxyProcess(Protocol):
     """A process of a proxy that was started."""
 
@@ -44,8 +57,8 @@
         """Start a process of the instance. Raises OSError if that fails."""
         ...
 
-    async def is_healthy(self, instance: Instance) -> bool:
-        """True if the instance passes its health check."""
+    async def check_health(self, instance: Instance) -> HealthStatus:
+        """Make one health check of an instance whose process runs."""
         ...
 
     async def is_address_free(self, instance: Instance) -> bool:
--- a/beechslip/store/__init__.py
+++ b/beechslip/store/__init__.py
@@ -11,7 +11,7 @@
 from urllib.parse import SplitResult, unquote, urlsplit
 
 WantedState = Literal["running", "drained", "removed"]
-InstanceState = Literal["declared", "starting", "healthy", "unhealthy", "draining", "drained", "waiting"]
+InstanceState = Literal["declared", "starting", "healthy", "not ready", "unhealthy", "draining", "drained", "waiting"]
 
 SQLITE_SCHEME = "sqlite"
 POSTGRES_SCHEMES = ("postgresql", "postgres")
--- /dev/null
+++ b/tests/test_agent_health.py
@@ -0,0 +1,169 @@
+"""Tests of how an agent judges and checks its proxies: real processes on loopback, and the launcher by itself."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from beechslip.agent import launcher as launcher_module
+from beechslip.agent.launcher import LocalLauncher
+from beechslip.agent.process import HealthStatus
+from beechslip.config import Address
+from beechslip.store import Instance, Store, open_store
+from lab.stand import FakeBackend, HttpResponse, fetch, free_port, read_message, run, until
+from tests.test_program import ProxyProcess, proxy_process
+
+BACKEND_DELAY_S = 2.5  # longer than the health checks after which a proxy that does not respond is killed
+OPEN_REQUESTS = 4
+RESPONSE_200 = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+RESPONSE_503 = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+
+class SlowBackend(FakeBackend):
+    """A backend that responds to requests for objects only after a delay."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            while True:
+                message = await read_message(reader)
+                if "/data/" in message[0]:
+                    self.seen.append(message)
+                    await asyncio.sleep(BACKEND_DELAY_S)
+                writer.write(self.script[0])
+        writer.close()
+
+
+class SupervisedProxy:
+    """A proxy that an agent process runs, declared without an address, so that its file names it."""
+
+    def __init__(self, proxy: ProxyProcess, store: Store, config: Path) -> None:
+        self.proxy, self.store, self.config = proxy, store, config
+        self.ops_port = int(json.loads(config.read_text())["ops"].rpartition(":")[2])
+
+    def instance(self) -> Instance:
+        found = self.store.get("n3")
+        assert found is not None
+        return found
+
+    def event_kinds(self) -> list[str]:
+        return [event.kind for event in self.store.events("n3")]
+
+    def replace_config(self, text: str) -> None:
+        replacement = self.config.with_suffix(".new")
+        replacement.write_text(text)
+        replacement.rename(self.config)
+
+    async def operator_call(self, path: str) -> None:
+        assert (await fetch(self.ops_port, path, method="POST"))[0] == 200
+
+    async def open_requests(self) -> list[asyncio.Task[HttpResponse]]:
+        """Begin requests and wait until the backends work on all of them."""
+        requests = [
+            asyncio.create_task(fetch(self.proxy.port, f"/rpc/waveform/{number:x}?slice=0"))
+            for number in range(OPEN_REQUESTS)
+        ]
+        await until(lambda: sum(len(backend.seen) for backend in self.proxy.backends) >= OPEN_REQUESTS)
+        return requests
+
+
+@contextlib.asynccontextmanager
+async def supervised_proxy(folder: Path) -> AsyncIterator[SupervisedProxy]:
+    """Run an agent with one healthy proxy; end both at the end of the block."""
+    async with proxy_process(folder, SlowBackend) as proxy:
+        config = proxy.write_config()
+        contents = json.loads(config.read_text())
+        config.write_text(json.dumps(contents | {"ops": f"127.0.0.1:{free_port()}"}))
+        url = f"sqlite:///{folder}/store.db"
+        store = open_store(url)
+        store.add(Instance("n3", str(config)))
+        supervised = SupervisedProxy(proxy, store, config)
+        await proxy.start("--store", url, "agent")
+        try:
+            await until(lambda: supervised.instance().state == "healthy")
+            yield supervised
+        finally:
+            await proxy.terminate()
+            store.close()
+
+
+@run
+async def test_an_agent_does_not_kill_a_proxy_that_an_operator_drains(tmp_path: Path) -> None:
+    """Guards against reset requests: the agent took a drained proxy's "no" on /health for a hang."""
+    async with supervised_proxy(tmp_path) as supervised:
+        pid = supervised.instance().pid
+        requests = await supervised.open_requests()
+        await supervised.operator_call("/v1/doorman/drain")
+        assert [response[0] for response in await asyncio.gather(*requests)] == [200] * OPEN_REQUESTS
+        assert supervised.instance().state == "not ready"
+        assert (await fetch(supervised.proxy.port, "/health"))[0] == 503
+        await supervised.operator_call("/v1/doorman/activate")
+        await until(lambda: supervised.instance().state == "healthy")
+        assert supervised.instance().pid == pid
+        assert supervised.event_kinds() == ["started", "healthy", "not ready", "healthy"]
+
+
+@run
+async def test_an_agent_replaces_a_drained_proxy_that_hangs(tmp_path: Path) -> None:
+    """Guards against the reverse: a drained proxy that stops responding is found and killed like any other."""
+    async with supervised_proxy(tmp_path) as supervised:
+        pid = supervised.instance().pid
+        await supervised.operator_call("/v1/doorman/drain")
+        await until(lambda: supervised.instance().state == "not ready")
+        os.kill(pid, signal.SIGSTOP)
+        await until(lambda: supervised.instance().state == "healthy")
+        assert supervised.instance().pid != pid
+        assert supervised.event_kinds()[2:] == ["not ready", "unhealthy", "exited", "restarted", "healthy"]
+
+
+@contextlib.asynccontextmanager
+async def responder(response: bytes | None) -> AsyncIterator[Address]:
+    """Respond to each connection with ``response`` and close it; ``None`` never responds."""
+    done = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        if response is None:
+            await done.wait()
+        else:
+            writer.write(response)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        yield Address("127.0.0.1", server.sockets[0].getsockname()[1])
+    finally:
+        done.set()
+        server.close()
+
+
+@run
+@pytest.mark.parametrize(
+    ("response", "expected"),
+    [
+        (RESPONSE_200, HealthStatus.READY),
+        (RESPONSE_503, HealthStatus.NOT_READY),
+        (b"", HealthStatus.NOT_READY),  # closed unread: a proxy that has no room for another connection
+        (None, HealthStatus.NO_RESPONSE),
+    ],
+)
+async def test_only_a_missing_response_counts_as_a_failed_health_check(
+    monkeypatch: pytest.MonkeyPatch, response: bytes | None, expected: HealthStatus
+) -> None:
+    """Guards against killing a proxy that responds, with "no" or by closing the connection."""
+    monkeypatch.setattr(launcher_module, "PROXY_CALL_TIMEOUT_S", 0.2)
+    async with responder(response) as address:
+        assert await LocalLauncher().check_health(Instance("n3", "", str(address))) is expected
+
+
+@run
+async def test_a_health_check_where_nobody_listens_has_no_response() -> None:
+    """Guards against a proxy that lost its listener and is never replaced."""
+    instance = Instance("n3", "", f"127.0.0.1:{free_port()}")
+    assert await LocalLauncher().check_health(instance) is HealthStatus.NO_RESPONSE
