Agent: a process is checked at the addresses it was started with, not at those of its file

Cause: each health check read the address from the file as it was then. A file that can't be read counted as a check without a response, and a good file with another `listen`, which holds from the next start on, sent the check to an address where nobody listens.

Change: the agent reads the addresses when it starts a process, passes them to it as EDGE_LISTEN and EDGE_OPS, and checks its health and reads its counters there. A file that can't be used is reported when a process is started.

--- a/beechslip/agent/health.py
+++ b/beechslip/agent/health.py
@@ -35,7 +35,8 @@
         self, instance: Instance, supervised: SupervisedInstance, now_ms: float, fence: Fence | None
     ) -> None:
         """Check the health of an instance whose process is running; ``now_ms`` is time of the agent's clock."""
-        match await self._launcher.check_health(instance):
+        assert supervised.process is not None
+        match await self._launcher.check_health(supervised.process):
             case HealthStatus.READY:
                 await self._handle_response(instance, supervised, "healthy", fence)
             case HealthStatus.NOT_READY:
@@ -56,7 +57,7 @@
             await self._access.record_event(instance.name, state, "", fence)
         supervised.state = state
         supervised.failed_health_checks = 0
-        await self._update_served_fraction(instance, supervised)
+        await self._update_served_fraction(supervised)
 
     async def _handle_missing_response(
         self, instance: Instance, supervised: SupervisedInstance, fence: Fence | None
@@ -69,9 +70,10 @@
         if await self._access.record_event(instance.name, "unhealthy", f"{failed} checks failed: ended", fence):
             await supervised.kill()
 
-    async def _update_served_fraction(self, instance: Instance, supervised: SupervisedInstance) -> None:
+    async def _update_served_fraction(self, supervised: SupervisedInstance) -> None:
         """Update the smoothed fraction of served requests from the counters since the last reading."""
-        counters = await self._launcher.counters(instance)
+        assert supervised.process is not None
+        counters = await self._launcher.counters(supervised.process)
         if counters is not None and supervised.counters is not None:
             served = _increase(supervised.counters, counters, SERVED_COUNTERS)
             total = served + _increase(supervised.counters, counters, UNSERVED_COUNTERS)
--- a/beechslip/agent/launcher.py
+++ b/beechslip/agent/launcher.py
@@ -11,7 +11,7 @@
 import aiohttp
 import orjson
 
-from beechslip.agent.process import HealthStatus, ProxyProcess
+from beechslip.agent.process import HealthStatus, ProxyAddresses, ProxyProcess
 from beechslip.agent.regions import ops_addresses
 from beechslip.config import Address, ConfigError, parse_address, read_config
 from beechslip.process import AGENT_VARIABLE
@@ -47,12 +47,36 @@
     return read_config(process_environment(instance)).listen
 
 
+def process_addresses(instance: Instance) -> ProxyAddresses:
+    """Return the addresses that a process of the instance gets when it is started now.
+
+    Raises ConfigError if neither the store nor the configuration file names a valid address for clients.
+    """
+    ops = ops_addresses([instance])
+    return ProxyAddresses(listen_address(instance), ops[0][1] if ops else None)
+
+
+def pinned_environment(instance: Instance, addresses: ProxyAddresses) -> dict[str, str]:
+    """Return the environment of a process that keeps to ``addresses``, whatever its configuration file says then."""
+    variables = process_environment(instance)
+    variables["EDGE_LISTEN"] = str(addresses.listen)
+    if addresses.ops is not None:
+        variables["EDGE_OPS"] = str(addresses.ops)
+    return variables
+
+
 class LocalProcess:
     """A proxy that runs as a child process on this machine."""
 
-    def __init__(self, process: asyncio.subprocess.Process) -> None:
+    def __init__(self, process: asyncio.subprocess.Process, addresses: ProxyAddresses) -> None:
         """Wrap ``process``, which may have exited already; signals to an exited process are ignored."""
         self._process = process
+        self._addresses = addresses
+
+    @property
+    def addresses(self) -> ProxyAddresses:
+        """Addresses that the process was started with."""
+        return self._addresses
 
     @property
     def pid(self) -> int:
@@ -89,14 +113,20 @@
     """Starts proxies on this machine. It keeps no state: the caller owns the processes that it starts."""
 
     async def start(self, instance: Instance) -> ProxyProcess:
-        """Start a process of the instance. Raises OSError if that fails.
+        """Start a process of the instance.
 
-        Its standard input is a pipe that closes when the agent exits, on which the proxy drains.
+        Its standard input is a pipe that closes when the agent exits, on which the proxy drains. Raises OSError if
+        the start fails, and ConfigError if neither the store nor the configuration file names a valid address.
         """
+        addresses = process_addresses(instance)
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "beechslip", stdin=asyncio.subprocess.PIPE, env=process_environment(instance)
+            sys.executable,
+            "-m",
+            "beechslip",
+            stdin=asyncio.subprocess.PIPE,
+            env=pinned_environment(instance, addresses),
         )
-        return LocalProcess(process)
+        return LocalProcess(process, addresses)
 
     async def is_address_free(self, instance: Instance) -> bool:
         """True if no process accepts connections at the instance's address."""
@@ -111,21 +141,19 @@
         writer.transport.abort()
         return False
 
-    async def check_health(self, instance: Instance) -> HealthStatus:
-        """Ask ``GET /health`` at the instance's address; status 200 means that it is ready."""
+    async def check_health(self, process: ProxyProcess) -> HealthStatus:
+        """Ask ``GET /health`` at the address that the process was started with; status 200 means that it is ready."""
         try:
-            listen = instance.listen or str(read_config(process_environment(instance)).listen)
-            async with _session() as session, session.get(f"http://{listen}/health") as response:
+            async with _session() as session, session.get(f"http://{process.addresses.listen}/health") as response:
                 return HealthStatus.READY if response.status == HTTP_OK else HealthStatus.NOT_READY
-        except (aiohttp.ClientError, OSError, TimeoutError, ConfigError) as error:
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return _health_status_after(error)
 
-    async def counters(self, instance: Instance) -> dict[str, int] | None:
-        """Return the instance's counters, or ``None`` if it has no operators' address or does not respond there."""
-        addresses = ops_addresses([instance])
-        if not addresses:
+    async def counters(self, process: ProxyProcess) -> dict[str, int] | None:
+        """Return the counters of a process, or ``None`` if it has no operators' address or does not respond there."""
+        address = process.addresses.ops
+        if address is None:
             return None
-        _, address = addresses[0]
         try:
             async with _session() as session, session.get(f"http://{address}/counters") as response:
                 page = orjson.loads(await response.read()) if response.status == HTTP_OK else None
@@ -138,7 +166,7 @@
 
 def _health_status_after(error: Exception) -> HealthStatus:
     """Return what a health check that failed says about the process."""
-    if isinstance(error, (aiohttp.ClientConnectorError, TimeoutError, ConfigError)):
+    if isinstance(error, (aiohttp.ClientConnectorError, TimeoutError)):
         return HealthStatus.NO_RESPONSE
     # It accepted the connection and ended it, for example for want of room for another one.
     return HealthStatus.NOT_READY
--- a/beechslip/agent/order_execution.py
+++ b/beechslip/agent/order_execution.py
@@ -116,7 +116,7 @@
         """Return the view, completed with what must be read from the instance for this step."""
         run = supervised.step_run
         if run is not None and run.step.kind in STEP_KINDS_THAT_READ_COUNTERS and supervised.process is not None:
-            supervised.counters = await self._launcher.counters(instance)
+            supervised.counters = await self._launcher.counters(supervised.process)
             view = replace(view, reloads=supervised.reload_counts())
         if supervised.process is None:
             view = replace(view, has_free_address=await self._launcher.is_address_free(instance))
--- a/beechslip/agent/process.py
+++ b/beechslip/agent/process.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
 
+from beechslip.config import Address
 from beechslip.store import Instance
 
 
@@ -20,6 +22,14 @@
     NO_RESPONSE = "no response"  # nobody listens at its address, or no response came in time
 
 
+@dataclass(frozen=True, slots=True)
+class ProxyAddresses:
+    """Where a process serves clients and operators, from its start to its end; ``ops`` is ``None`` for nowhere."""
+
+    listen: Address
+    ops: Address | None = None
+
+
 class ProxyProcess(Protocol):
     """A process of a proxy that was started."""
 
@@ -28,6 +38,11 @@
         """Process id."""
         ...
 
+    @property
+    def addresses(self) -> ProxyAddresses:
+        """Addresses of the process. A configuration file that is replaced later does not change them."""
+        ...
+
     @property
     def returncode(self) -> int | None:
         """Exit code, or ``None`` while the process runs; it is the negative signal number after a signal."""
@@ -54,11 +69,14 @@
     """Starts proxies, and checks their health, address and counters."""
 
     async def start(self, instance: Instance) -> ProxyProcess:
-        """Start a process of the instance. Raises OSError if that fails."""
+        """Start a process of the instance.
+
+        Raises OSError if that fails, and ConfigError if the instance's configuration names no valid address.
+        """
         ...
 
-    async def check_health(self, instance: Instance) -> HealthStatus:
-        """Make one health check of an instance whose process runs."""
+    async def check_health(self, process: ProxyProcess) -> HealthStatus:
+        """Make one health check of a process."""
         ...
 
     async def is_address_free(self, instance: Instance) -> bool:
@@ -68,6 +86,6 @@
         """
         ...
 
-    async def counters(self, instance: Instance) -> dict[str, int] | None:
-        """Return the instance's counters, or ``None`` if it has no operators' address or does not respond there."""
+    async def counters(self, process: ProxyProcess) -> dict[str, int] | None:
+        """Return the counters of a process, or ``None`` if it has no operators' address or does not respond there."""
         ...
--- a/beechslip/agent/supervisor.py
+++ b/beechslip/agent/supervisor.py
@@ -17,6 +17,7 @@
 from beechslip.agent.store_access import StoreAccess
 from beechslip.agent.supervised import FIRST_BACKOFF_MS, SupervisedInstance
 from beechslip.clock import Clock
+from beechslip.config import ConfigError
 from beechslip.store import Fence, Instance
 
 log = logging.getLogger("beechslip.agent")
@@ -80,7 +81,7 @@
         supervised.reported_status = None
         try:
             process = await self._launcher.start(instance)
-        except OSError as error:
+        except (OSError, ConfigError) as error:
             supervised.schedule_restart(now_ms)
             await self._access.record_event(instance.name, "not started", str(error), fence)
             return
--- a/lab/simulated_proxies.py
+++ b/lab/simulated_proxies.py
@@ -6,11 +6,16 @@
 import signal
 from collections.abc import Callable
 
+from beechslip.agent.process import ProxyAddresses
 from beechslip.clock import ManualClock
+from beechslip.config import Address
 
 DRAIN_MS = 600.0
 """Time that a simulated proxy takes to answer the requests that it has accepted."""
 
+SIMULATED_ADDRESSES = ProxyAddresses(Address("127.0.0.1", 1))
+"""Addresses of every simulated proxy; nobody connects to them."""
+
 READY_MS = 500.0
 """Age from which a simulated proxy answers its health check."""
 
@@ -35,6 +40,7 @@
         self.started_ms = clock.now_ms()
         self.ended_ms = 0.0
         self.signals: list[str] = []
+        self.addresses = SIMULATED_ADDRESSES
         self._clock = clock
         self._ignores_sigterm = ignores_sigterm
         self._on_sigterm = on_sigterm
