Agent: a health check that it could not make says nothing about the proxy

What would be seen: an agent without free descriptors, ports or memory fails every health check in its own socket call, and after three passes kills all its proxies with their open requests.

Cause: LocalLauncher treated every OSError of a check as a proxy that does not respond.

Change: errors that mean a lack of this machine's own resources (LOCAL_RESOURCE_ERRORS) give the result `unknown`, which neither counts as a missing response nor ends a row of them. Other errors count as before.

Evidence: a test takes all descriptors away for one check. Before, the result was "no response"; now it is "unknown", and a process that is checked so in all passes gets no signal.

--- a/beechslip/agent/health.py
+++ b/beechslip/agent/health.py
@@ -44,6 +44,8 @@
             case HealthStatus.NO_RESPONSE:
                 if supervised.state != "starting" or now_ms - supervised.started_ms >= START_TIMEOUT_MS:
                     await self._handle_missing_response(instance, supervised, fence)
+            case HealthStatus.UNKNOWN:
+                pass  # it says nothing about the process
 
     async def _handle_response(
         self,
--- a/beechslip/agent/launcher.py
+++ b/beechslip/agent/launcher.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 import os
 import signal
 import sys
@@ -14,9 +15,12 @@
 from beechslip.agent.process import HealthStatus, ProxyAddresses, ProxyProcess
 from beechslip.agent.regions import ops_addresses
 from beechslip.config import Address, ConfigError, parse_address, read_config
+from beechslip.platform.sockets import LOCAL_RESOURCE_ERRORS
 from beechslip.process import AGENT_VARIABLE
 from beechslip.store import Instance
 
+log = logging.getLogger("beechslip.agent")
+
 PROXY_CALL_TIMEOUT_S = 1.0
 """Timeout of a health check, of a connection attempt and of a request for counters."""
 
@@ -147,7 +151,7 @@
             async with _session() as session, session.get(f"http://{process.addresses.listen}/health") as response:
                 return HealthStatus.READY if response.status == HTTP_OK else HealthStatus.NOT_READY
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            return _health_status_after(error)
+            return _health_status_after(error, process.pid)
 
     async def counters(self, process: ProxyProcess) -> dict[str, int] | None:
         """Return the counters of a process, or ``None`` if it has no operators' address or does not respond there."""
@@ -164,8 +168,11 @@
         return {str(name): value for name, value in page.items() if isinstance(value, int)}
 
 
-def _health_status_after(error: Exception) -> HealthStatus:
+def _health_status_after(error: Exception, pid: int) -> HealthStatus:
     """Return what a health check that failed says about the process."""
+    if isinstance(error, OSError) and error.errno in LOCAL_RESOURCE_ERRORS:
+        log.warning("health not checked: pid=%d error=%s", pid, error)
+        return HealthStatus.UNKNOWN
     if isinstance(error, (aiohttp.ClientConnectorError, TimeoutError)):
         return HealthStatus.NO_RESPONSE
     # It accepted the connection and ended it, for example for want of room for another one.
--- a/beechslip/agent/process.py
+++ b/beechslip/agent/process.py
@@ -20,6 +20,7 @@
     READY = "ready"  # it takes clients
     NOT_READY = "not ready"  # it responds, but not that it takes clients
     NO_RESPONSE = "no response"  # nobody listens at its address, or no response came in time
+    UNKNOWN = "unknown"  # the check could not be made, for a reason that is not the proxy's
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -169,13 +169,17 @@
 
 
 @run
-async def test_a_process_that_is_not_ready_is_not_killed(tmp_path: Path) -> None:
+@pytest.mark.parametrize("health", [HealthStatus.NOT_READY, HealthStatus.UNKNOWN])
+async def test_a_process_that_is_not_ready_or_could_not_be_checked_is_not_killed(
+    tmp_path: Path, health: HealthStatus
+) -> None:
     """Guards against killing a process that is alive; once it no longer responds, it is killed as before."""
     async with agent_fixture(tmp_path) as s:
         await s.run_passes(3)
-        s.launcher.health = HealthStatus.NOT_READY
+        s.launcher.health = health
         await s.run_passes(3 * MAX_FAILED_HEALTH_CHECKS, STABLE_MS)
-        assert s.launcher.started[0].signals == [] and s.stored_status() == ("not ready", 100, 0)
+        expected = "not ready" if health is HealthStatus.NOT_READY else "healthy"
+        assert s.launcher.started[0].signals == [] and s.stored_status() == (expected, 100, 0)
         s.launcher.health = HealthStatus.NO_RESPONSE
         await s.run_passes(MAX_FAILED_HEALTH_CHECKS)
         assert s.launcher.started[0].signals == ["KILL"]
--- a/tests/test_agent_health.py
+++ b/tests/test_agent_health.py
@@ -6,8 +6,9 @@
 import contextlib
 import json
 import os
+import resource
 import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -174,6 +175,19 @@
     return process
 
 
+@contextlib.contextmanager
+def no_free_descriptor() -> Iterator[None]:
+    """Let the system refuse every new descriptor to this process."""
+    lowest_free = os.dup(0)
+    os.close(lowest_free)
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, limits[1]))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+
 @run
 @pytest.mark.parametrize(
     ("response", "expected"),
@@ -200,6 +214,15 @@
     assert await LocalLauncher().check_health(process) is HealthStatus.NO_RESPONSE
 
 
+@run
+async def test_a_health_check_that_could_not_be_made_says_nothing_about_the_proxy() -> None:
+    """Guards against an agent without free descriptors that kills all its proxies."""
+    async with responder(RESPONSE_200) as address:
+        with no_free_descriptor():
+            status = await LocalLauncher().check_health(process_at(address))
+        assert status is HealthStatus.UNKNOWN
+
+
 def test_a_process_gets_the_addresses_that_the_agent_checks(tmp_path: Path) -> None:
     """Guards against a file that is replaced between the agent's read and the read of the process it starts."""
     config = ProxyProcess(tmp_path).write_config()
