Agent: an address that can't be checked is not free; nothing is started, no drain is done

What would be seen: with a configuration file that can't be read, or an agent without free descriptors, an agent that takes over starts a process beside the former agent's proxy, and `order drain` reports done ("it does not run") while that proxy still serves.

Cause: is_address_free returned true for every error but a timeout.

Change: it raises AddressCheckError if it can't tell, and counts only a refused connection or an address that does not exist as free. Then nothing is started (event `waits`, with the reason) and a step of an order waits. If the file can't be read, the address of the agent's last process is checked, so a drain of its own proxy ends as before.

--- a/beechslip/agent/launcher.py
+++ b/beechslip/agent/launcher.py
@@ -12,7 +12,7 @@
 import aiohttp
 import orjson
 
-from beechslip.agent.process import HealthStatus, ProxyAddresses, ProxyProcess
+from beechslip.agent.process import AddressCheckError, HealthStatus, ProxyAddresses, ProxyProcess
 from beechslip.agent.regions import ops_addresses
 from beechslip.config import Address, ConfigError, parse_address, read_config
 from beechslip.platform.sockets import LOCAL_RESOURCE_ERRORS
@@ -132,16 +132,25 @@
         )
         return LocalProcess(process, addresses)
 
-    async def is_address_free(self, instance: Instance) -> bool:
-        """True if no process accepts connections at the instance's address."""
+    async def is_address_free(self, instance: Instance, last_address: Address | None) -> bool:
+        """True if a connection shows that no process accepts connections at the instance's address.
+
+        ``last_address`` is checked if the configuration names no valid address now. Raises AddressCheckError if that
+        can't be told.
+        """
         try:
             address = listen_address(instance)
+        except ConfigError as error:
+            if last_address is None:
+                raise AddressCheckError(f"its address is not known: {error}") from None
+            address = last_address
+        try:
             connecting = asyncio.open_connection(address.host, address.port)
             _, writer = await asyncio.wait_for(connecting, PROXY_CALL_TIMEOUT_S)
         except TimeoutError:
             return False  # a process listens there and is too busy to accept
-        except (OSError, ConfigError):
-            return True  # an error in the configuration file is reported when the proxy starts
+        except OSError as error:
+            return _is_free_after(error)
         writer.transport.abort()
         return False
 
@@ -168,6 +177,14 @@
         return {str(name): value for name, value in page.items() if isinstance(value, int)}
 
 
+def _is_free_after(error: OSError) -> bool:
+    """True if a failed connection shows that nobody listens. Raises AddressCheckError if it shows nothing."""
+    if error.errno in LOCAL_RESOURCE_ERRORS:
+        raise AddressCheckError(f"its address could not be checked: {error}") from None
+    was_accepted = isinstance(error, ConnectionError) and not isinstance(error, ConnectionRefusedError)
+    return not was_accepted  # an address that does not exist is reported when the proxy starts
+
+
 def _health_status_after(error: Exception, pid: int) -> HealthStatus:
     """Return what a health check that failed says about the process."""
     if isinstance(error, OSError) and error.errno in LOCAL_RESOURCE_ERRORS:
--- a/beechslip/agent/order_execution.py
+++ b/beechslip/agent/order_execution.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 
 from beechslip.agent.leases import InstanceLeases
-from beechslip.agent.process import ProxyLauncher
+from beechslip.agent.process import AddressCheckError, ProxyLauncher
 from beechslip.agent.store_access import StoreAccess
 from beechslip.agent.supervised import SupervisedInstance
 from beechslip.clock import Clock
@@ -119,9 +119,17 @@
             supervised.counters = await self._launcher.counters(supervised.process)
             view = replace(view, reloads=supervised.reload_counts())
         if supervised.process is None:
-            view = replace(view, has_free_address=await self._launcher.is_address_free(instance))
+            view = replace(view, has_free_address=await self._has_free_address(instance, supervised))
         return view
 
+    async def _has_free_address(self, instance: Instance, supervised: SupervisedInstance) -> bool | None:
+        """Return whether nobody listens at the instance's address, or ``None`` if that can't be told now."""
+        try:
+            return await self._launcher.is_address_free(instance, supervised.last_address)
+        except AddressCheckError as error:
+            log.warning("step waits: instance=%s %s", instance.name, error)
+            return None
+
     async def _write_result(
         self, tables: OrderStore, run: StepRun, holder: str, action: StepAction, fence: Fence | None
     ) -> None:
--- a/beechslip/agent/process.py
+++ b/beechslip/agent/process.py
@@ -23,6 +23,10 @@
     UNKNOWN = "unknown"  # the check could not be made, for a reason that is not the proxy's
 
 
+class AddressCheckError(Exception):
+    """It can't be told whether an instance's address is free: it is not known, or the check could not be made."""
+
+
 @dataclass(frozen=True, slots=True)
 class ProxyAddresses:
     """Where a process serves clients and operators, from its start to its end; ``ops`` is ``None`` for nowhere."""
@@ -80,10 +84,12 @@
         """Make one health check of a process."""
         ...
 
-    async def is_address_free(self, instance: Instance) -> bool:
-        """True if no process listens at the instance's address.
+    async def is_address_free(self, instance: Instance, last_address: Address | None) -> bool:
+        """True if no process accepts connections at the instance's address.
 
-        A process that a previous agent started may still be listening there.
+        A process that a previous agent started may still be listening there. ``last_address`` is the address of the
+        last process that the caller ran; it is checked if the configuration names no valid address now. Raises
+        AddressCheckError if that can't be told.
         """
         ...
 
--- a/beechslip/agent/supervised.py
+++ b/beechslip/agent/supervised.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from beechslip.agent.process import ProxyProcess
+from beechslip.config import Address
 from beechslip.orders.step_run import InstanceView, ProcessExit, ReloadCounts, StepRun
 from beechslip.store import InstanceState, WantedState
 
@@ -34,10 +35,13 @@
 
     ``draining_since_ms`` is ``None`` unless SIGTERM was sent. ``is_stop_requested`` is true while a step of an order
     wants the process stopped, whatever is declared. ``served`` is the smoothed fraction of its requests that the
-    instance served.
+    instance served. ``last_address`` is where the last process served clients; ``None`` if none was started.
+    ``wait_reason`` says why no process is started at present, "" for another reason than its address.
     """
 
     process: ProxyProcess | None = None
+    last_address: Address | None = None
+    wait_reason: str = ""
     state: InstanceState = "declared"
     started_ms: float = 0.0
     draining_since_ms: float | None = None
--- a/beechslip/agent/supervisor.py
+++ b/beechslip/agent/supervisor.py
@@ -13,7 +13,7 @@
 
 from beechslip.agent.health import HealthChecker
 from beechslip.agent.leases import LeaseOwnership
-from beechslip.agent.process import ProxyLauncher, ProxyProcess
+from beechslip.agent.process import AddressCheckError, ProxyLauncher, ProxyProcess
 from beechslip.agent.store_access import StoreAccess
 from beechslip.agent.supervised import FIRST_BACKOFF_MS, SupervisedInstance
 from beechslip.clock import Clock
@@ -62,12 +62,20 @@
     async def _start_if_address_free(
         self, instance: Instance, supervised: SupervisedInstance, now_ms: float, fence: Fence | None
     ) -> None:
-        if await self._launcher.is_address_free(instance):
+        try:
+            is_free = await self._launcher.is_address_free(instance, supervised.last_address)
+            reason = "its address is in use"
+        except AddressCheckError as error:
+            is_free = False
+            reason = str(error)
+        if is_free:
+            supervised.wait_reason = ""
             await self._start(instance, supervised, now_ms, fence)
             return
         # The process of a previous agent accepts connections there until it has drained. Do not start a second one.
-        if supervised.state != "waiting":
-            await self._access.record_event(instance.name, "waits", "its address is in use", fence)
+        if supervised.wait_reason != reason:
+            await self._access.record_event(instance.name, "waits", reason, fence)
+        supervised.wait_reason = reason
         supervised.state = "waiting"
 
     async def _start(
@@ -86,6 +94,7 @@
             await self._access.record_event(instance.name, "not started", str(error), fence)
             return
         supervised.process = process
+        supervised.last_address = process.addresses.listen
         supervised.started_ms = now_ms
         supervised.failed_health_checks = 0
         supervised.state = "starting"
--- a/beechslip/orders/step_run.py
+++ b/beechslip/orders/step_run.py
@@ -66,7 +66,7 @@
 
     ``pid`` is 0 if this agent runs no process of the instance. ``reloads`` is ``None`` if the counters cannot be
     read. ``has_free_address`` is true if this agent runs no process of the instance and no other process accepts
-    connections at its address.
+    connections at its address, and ``None`` if that can't be told.
     """
 
     wanted: WantedState
@@ -76,7 +76,7 @@
     reloads: ReloadCounts | None = None
     served: float = 1.0
     restarts: int = 0
-    has_free_address: bool = True
+    has_free_address: bool | None = True
 
 
 class ActionKind(StrEnum):
@@ -172,7 +172,7 @@
     def _drain_action(self, view: InstanceView) -> StepAction:
         if view.wanted == "running":
             return StepAction(ActionKind.WANT_DRAINED)
-        if not view.pid and not view.has_free_address:
+        if not view.pid and view.has_free_address is False:
             self._foreign_process_seen = True
         if view.pid or not view.has_free_address:
             return WAIT_ACTION
--- a/lab/agent_fleet.py
+++ b/lab/agent_fleet.py
@@ -25,6 +25,7 @@
 from beechslip.agent.process import HealthStatus, ProxyProcess
 from beechslip.agent.store_access import StoreAccess
 from beechslip.clock import ManualClock
+from beechslip.config import Address
 from beechslip.leases.paxos import LeaseTuning
 from beechslip.leases.stored import StoredLeases
 from beechslip.orders.model import FINAL_STEP_STATES, Order, OrderKind
@@ -142,7 +143,7 @@
         is_ready = isinstance(process, SimulatedProxy) and process.is_ready
         return HealthStatus.READY if is_ready else HealthStatus.NO_RESPONSE
 
-    async def is_address_free(self, instance: Instance) -> bool:
+    async def is_address_free(self, instance: Instance, last_address: Address | None) -> bool:
         """True if no process of the instance runs."""
         return self.fleet.running_process(instance.name) is None
 
--- a/lab/order_faults.py
+++ b/lab/order_faults.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from typing import Any
 
+from beechslip.config import Address
 from beechslip.orders import order_store
 from beechslip.orders.model import Order, Step
 from beechslip.orders.order_store import OrderStore
@@ -92,7 +93,7 @@
 def _address_always_free(is_address_free: Any) -> Any:
     """The address of every instance counts as free."""
 
-    async def always(self: SimulatedLauncher, instance: Instance) -> bool:
+    async def always(self: SimulatedLauncher, instance: Instance, last_address: Address | None) -> bool:
         return True
 
     return always
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -12,7 +12,7 @@
 
 from beechslip.agent.agent import Agent
 from beechslip.agent.health import MAX_FAILED_HEALTH_CHECKS
-from beechslip.agent.process import HealthStatus, ProxyAddresses, ProxyProcess
+from beechslip.agent.process import AddressCheckError, HealthStatus, ProxyAddresses, ProxyProcess
 from beechslip.agent.store_access import StoreAccess
 from beechslip.agent.supervised import FIRST_BACKOFF_MS, MAX_BACKOFF_MS, STABLE_MS
 from beechslip.agent.supervisor import DRAIN_TIMEOUT_MS
@@ -63,6 +63,7 @@
         self.started: list[SimulatedProcess] = []
         self.obeys_sigterm = self.healthy = self.can_start = True
         self.health: HealthStatus | None = None  # overrides ``healthy``
+        self.address_error: AddressCheckError | None = None
 
     async def start(self, instance: Instance) -> SimulatedProcess:
         if not self.can_start:
@@ -75,7 +76,9 @@
             return self.health
         return HealthStatus.READY if self.healthy else HealthStatus.NO_RESPONSE
 
-    async def is_address_free(self, instance: Instance) -> bool:
+    async def is_address_free(self, instance: Instance, last_address: Address | None) -> bool:
+        if self.address_error is not None:
+            raise self.address_error
         return True
 
     async def counters(self, process: ProxyProcess) -> dict[str, int] | None:
@@ -198,6 +201,19 @@
         assert s.launcher.started[0].signals == []
 
 
+@run
+async def test_no_process_is_started_at_an_address_that_can_not_be_checked(tmp_path: Path) -> None:
+    """Guards against a second proxy beside one that a previous agent started."""
+    async with agent_fixture(tmp_path) as s:
+        s.launcher.address_error = AddressCheckError("its file is cut short")
+        await s.run_passes(3)
+        assert s.launcher.started == [] and s.stored_status() == ("waiting", 0, 0)
+        assert [event.detail for event in s.store.events("n1")] == ["its file is cut short"]
+        s.launcher.address_error = None
+        await s.run_passes(2)
+        assert s.stored_status() == ("healthy", 100, 0)
+
+
 @run
 async def test_a_drained_instance_gets_sigterm_and_is_not_restarted(tmp_path: Path) -> None:
     async with agent_fixture(tmp_path) as s:
--- a/tests/test_agent_health.py
+++ b/tests/test_agent_health.py
@@ -16,7 +16,7 @@
 
 from beechslip.agent import launcher as launcher_module
 from beechslip.agent.launcher import LocalLauncher, process_addresses
-from beechslip.agent.process import HealthStatus, ProxyAddresses
+from beechslip.agent.process import AddressCheckError, HealthStatus, ProxyAddresses
 from beechslip.config import Address
 from beechslip.store import Instance, Store, open_store
 from lab.stand import FakeBackend, HttpResponse, fetch, free_port, read_message, run, until
@@ -223,6 +223,28 @@
         assert status is HealthStatus.UNKNOWN
 
 
+@run
+async def test_an_address_that_can_not_be_checked_does_not_count_as_free(tmp_path: Path) -> None:
+    """Guards against a second proxy beside a running one, and a drain reported as done while a proxy still serves."""
+    config = tmp_path / "n3.json"
+    instance = Instance("n3", str(config))
+    config.write_text("{")
+    local_launcher = LocalLauncher()
+    with pytest.raises(AddressCheckError):
+        await local_launcher.is_address_free(instance, None)
+    assert await local_launcher.is_address_free(instance, Address("127.0.0.1", free_port()))
+    async with responder(RESPONSE_200) as address:
+        assert not await local_launcher.is_address_free(instance, address)
+
+
+@run
+async def test_an_agent_without_free_descriptors_takes_no_address_for_free() -> None:
+    """Guards against a second proxy beside a running one whose address the agent could not connect to."""
+    instance = Instance("n3", "n3.json", f"127.0.0.1:{free_port()}")
+    with no_free_descriptor(), pytest.raises(AddressCheckError):
+        await LocalLauncher().is_address_free(instance, None)
+
+
 def test_a_process_gets_the_addresses_that_the_agent_checks(tmp_path: Path) -> None:
     """Guards against a file that is replaced between the agent's read and the read of the process it starts."""
     config = ProxyProcess(tmp_path).write_config()
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -189,6 +189,12 @@
         ["wait", "done"],
         "nobody saw how",
     ),
+    "whether a process is still there can't be told": (
+        "drain",
+        [InstanceView("drained", "waiting", has_free_address=None), InstanceView("drained", "drained")],
+        ["wait", "done"],
+        "was not running",
+    ),
     "restarted": (
         "restart",
         [
