Orders: a reload waits for a starting process, which SIGHUP could end

What would be seen: `order retune` on an instance that is just starting sends SIGHUP at once. Before the program has blocked that signal it ends the process; the step says `died` and the instance comes back only after its backoff. No request is lost, as such a process has accepted none.

Cause: a retune step sent the signal in its first pass, whatever the state of the process.

Change: the step waits while the state is `starting`, then signals and compares the counters with those of that moment. A process that exits meanwhile ends the step as before.

Evidence: two new cases of the step tests fail on the code before ("reload" where "wait" is wanted).

--- a/beechslip/orders/step_run.py
+++ b/beechslip/orders/step_run.py
@@ -146,6 +146,7 @@
         self._reloads_before = view.reloads
         self._exit_before = view.last_exit
         self._is_first_pass = True
+        self._reload_sent = False
         self._exit: ProcessExit | None = None
         self._foreign_process_seen = False  # a process of a previous agent accepted connections at the address
 
@@ -165,7 +166,7 @@
             case "restart":
                 return self._restart_action(is_first, view)
             case "retune":
-                return self._retune_action(is_first, now_ms, view)
+                return self._retune_action(now_ms, view)
             case "inspect":
                 return self._inspect_action(now_ms, view)
 
@@ -213,20 +214,28 @@
             return died_action(f"{self._exit}; {running}")
         return done_action(running)
 
-    def _retune_action(self, is_first: bool, now_ms: float, view: InstanceView) -> StepAction:
+    def _retune_action(self, now_ms: float, view: InstanceView) -> StepAction:
         if self.previous_holder:  # a process started after that agent took the step has read the current file
             return done_action(f"process {view.pid} runs since") if view.state == "healthy" else WAIT_ACTION
         if not self.pid:
             return refused_action(f"it is not running ({view.state})")
-        if is_first:
-            self.began_ms = now_ms
-            return StepAction(ActionKind.RELOAD)
         if view.pid != self.pid:
             return died_action(str(self._exit or f"process {self.pid} is gone"))
+        if not self._reload_sent:
+            return self._send_reload(now_ms, view)
         if now_ms - self.began_ms < RELOAD_WAIT_MS:
             return WAIT_ACTION
         return self._reload_result(view.reloads)
 
+    def _send_reload(self, now_ms: float, view: InstanceView) -> StepAction:
+        """Return the action that sends SIGHUP, which would end a process that has not installed its handler yet."""
+        if view.state == "starting":
+            return WAIT_ACTION
+        self._reload_sent = True
+        self._reloads_before = view.reloads
+        self.began_ms = now_ms
+        return StepAction(ActionKind.RELOAD)
+
     def _reload_result(self, reloads: ReloadCounts | None) -> StepAction:
         """Return the result of a reload, from the counters before and after it."""
         before = self._reloads_before
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -243,6 +243,23 @@
         "did not take up",
     ),
     "no counters": ("retune", [RUNNING_VIEW, RUNNING_VIEW], ["reload", "done"], "can't be read"),
+    "retuned while it starts": (
+        "retune",
+        [
+            InstanceView("running", "starting", 7),
+            InstanceView("running", "starting", 7),
+            replace(RUNNING_VIEW, reloads=ReloadCounts(0, 0)),
+            replace(RUNNING_VIEW, reloads=ReloadCounts(1, 0)),
+        ],
+        ["wait", "wait", "reload", "done"],
+        "",
+    ),
+    "exited while it starts": (
+        "retune",
+        [InstanceView("running", "starting", 7), InstanceView("running", "waiting", 0, ProcessExit(7, 1))],
+        ["wait", "died"],
+        "ended with 1",
+    ),
     "exited meanwhile": (
         "retune",
         [RUNNING_VIEW, InstanceView("running", "waiting", 0, ProcessExit(7, 1))],
