Reload: a good file is no longer turned down for a key that may be absent

Cause: a new file had to have all keys that the classes of the last file had in common, so that an optional key became required once all classes happened to have it.

All others are required as before, and a value that is there is checked, also at an optional key of a single class.

Evidence: five good files fail on the code before and pass now; six bad ones, three of which concern optional keys, and the earlier table of bad files are turned down.

--- a/beechslip/config.py
+++ b/beechslip/config.py
@@ -4,7 +4,6 @@
 
 import errno
 import logging
-import math
 import os
 import tomllib
 from collections.abc import Mapping
@@ -14,6 +13,7 @@
 
 import orjson
 
+from beechslip.reload_check import IncompleteFileError, check_reread_file
 from beechslip.routing.interface import Settings
 from beechslip.routing.wire.settings import read_settings
 
@@ -21,8 +21,6 @@
 LOG_LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
 MAX_PORT = 65535
 MAX_FD_DIGITS = 7
-# Each of these settings is a list with one value per class, in the order of the classes.
-SETTINGS_LISTED_BY_CLASS = ("goesThrough", "maxAge", "staleFor")
 DNS_FILE = Path(__file__).resolve().parent.parent / "deploy" / "dns.toml"
 RECORD_FILE = DNS_FILE.with_name("record.toml")  # read by beechslip.store.sent_requests
 
@@ -187,16 +185,14 @@
 def reread_config(before: Config, env: Mapping[str, str] | None = None) -> Config:
     """Read the configuration file again while the proxy is running on ``before``.
 
-    The check is stricter than at a start, which replaces missing or invalid values by defaults. A proxy that serves
-    must not lose a class, a rule or its change log because the file is half written or wrong in one place. Raises
-    ConfigError if the file is incomplete or invalid.
+    The check is stricter than at a start; see :mod:`beechslip.reload_check`. Raises ConfigError if the file is
+    incomplete or invalid.
     """
     env = os.environ if env is None else env
     path, contents = _load_file(env)
     try:
-        _check_complete(before.file_contents, contents, "the file")
-        _check_classes(contents["settings"])
-    except ConfigError as error:
+        check_reread_file(before.file_contents, contents)
+    except IncompleteFileError as error:
         raise ConfigError(f"{path}: {error}") from None
     return read_config(env)
 
@@ -217,48 +213,3 @@
     is_transient = isinstance(error, OSError) and error.errno in TRANSIENT_ERRNOS
     kind = ConfigUnreadableError if is_transient else ConfigError
     return kind(f"{path}: {error}")
-
-
-def _json_type(value: Any) -> type:
-    return float if isinstance(value, int) and not isinstance(value, bool) else type(value)
-
-
-def _check_complete(before: Any, now: Any, where: str) -> None:
-    """Raise ConfigError if a key of the previous file is missing, or has a value of another JSON type.
-
-    Each object of a list must have the keys that all objects of the previous list had in common.
-    """
-    if before is not None and _json_type(before) is not _json_type(now):
-        raise ConfigError(f"{where} has another JSON type than before the reload")
-    if isinstance(before, Mapping):
-        for name, value in before.items():
-            if name not in now:
-                raise ConfigError(f"{where} has no {name!r}, but had it before the reload")
-            _check_complete(value, now[name], name)
-    elif isinstance(before, list) and before and all(isinstance(entry, Mapping) for entry in before):
-        common = {name: value for name, value in before[0].items() if all(name in entry for entry in before)}
-        for entry in now:
-            _check_complete(common, entry, f"an element of {where}")
-
-
-def _is_positive_number(value: Any) -> bool:
-    return isinstance(value, (int, float)) and not isinstance(value, bool) and 0 < value < math.inf
-
-
-def _check_classes(settings: Mapping[str, Any]) -> None:
-    """Raise ConfigError if the classes, their deadlines or the limit on attempts are missing or invalid."""
-    classes, specifics, caps = settings.get("classes"), settings.get("specifics"), settings.get("caps")
-    if not classes or not isinstance(classes, list):
-        raise ConfigError("invalid classes: expected a list with at least one class")
-    names = [entry.get("name") for entry in classes]
-    if not all(isinstance(name, str) and name for name in names) or len(set(names)) < len(names):
-        raise ConfigError("invalid classes: each needs a name that no other class has")
-    for entry in classes:
-        if not _is_positive_number(entry.get("giveUp")):
-            raise ConfigError(f"invalid giveUp of class {entry['name']!r}: expected a number above 0")
-    if not _is_positive_number(caps.get("maxAttempts") if isinstance(caps, dict) else None):
-        raise ConfigError("invalid maxAttempts: expected a number above 0")
-    for name in SETTINGS_LISTED_BY_CLASS:
-        values = specifics.get(name) if isinstance(specifics, dict) else None
-        if values is not None and (not isinstance(values, list) or len(values) != len(classes)):
-            raise ConfigError(f"invalid {name!r}: expected a list with one value per class")
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -146,6 +146,65 @@
     assert list(reread_config(with_new_class, env).settings.classes) == ["waveform", "plot", "pick-submit"]
 
 
+def _give_every_class_a_stretch(file: dict[str, Any]) -> None:
+    for entry in file["settings"]["classes"]:
+        entry["aimStretch"] = 2.0
+    file["settings"] |= {"costs": {"probe": 0.01, "fleet": 0.1}, "novelty": {"depth": 3}}
+
+
+GOOD_CHANGES: list[Callable[[dict[str, Any]], object]] = [
+    _add_class,  # the new class has no aimStretch
+    lambda f: _class_entry(f, 0).pop("aimStretch"),
+    lambda f: f["settings"]["costs"].pop("fleet"),
+    lambda f: f["settings"].pop("novelty"),  # a key that the page does not name
+    lambda f: f["settings"].update(novelty="none"),
+]
+
+
+@pytest.mark.parametrize("change", GOOD_CHANGES)
+def test_reread_config_takes_a_file_that_lacks_only_keys_that_may_be_absent(
+    tmp_path: Path, change: Callable[[dict[str, Any]], object]
+) -> None:
+    """Guards against a good file that is turned down because all classes of the last one had an optional key."""
+    path, env = tmp_path / "config.json", {"EDGE_CONFIG": str(tmp_path / "config.json")}
+    before = config_file(_give_every_class_a_stretch)
+    path.write_text(json.dumps(before))
+    old_config = read_config(env)
+    after = copy.deepcopy(before)
+    change(after)
+    if change is _add_class:
+        del after["settings"]["classes"][-1]["aimStretch"]
+    path.write_text(json.dumps(after | {"changelog": "127.0.0.1:3"}))
+    new_config = reread_config(old_config, env)
+    assert str(new_config.changelog_address) == "127.0.0.1:3"
+    assert len(new_config.settings.classes) == len(after["settings"]["classes"])
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda f: _class_entry(f, 0).update(aimStretch="2.0"),
+        lambda f: _class_entry(f, 2).update(aimStretch=None),
+        lambda f: f["settings"]["costs"].update(fleet=[]),
+        lambda f: f["settings"]["costs"].pop("probe"),
+        lambda f: _class_entry(f, 1).pop("window"),
+        lambda f: f["limits"].pop("sockets"),
+    ],
+)
+def test_reread_config_rejects_a_required_key_that_is_missing_and_an_optional_one_of_another_type(
+    tmp_path: Path, change: Callable[[dict[str, Any]], object]
+) -> None:
+    """Guards against the reverse: a file that is wrong in one place is still turned down whole."""
+    path, env = tmp_path / "config.json", {"EDGE_CONFIG": str(tmp_path / "config.json")}
+    before = config_file(_give_every_class_a_stretch)
+    path.write_text(json.dumps(before))
+    old_config = read_config(env)
+    change(before)
+    path.write_text(json.dumps(before))
+    with pytest.raises(ConfigError):
+        reread_config(old_config, env)
+
+
 @run
 async def test_an_open_request_keeps_the_rule_of_its_class() -> None:
     unsafe = replace(
