Reload: the DNS file is not read again, so its faults no longer reject new settings

What would be seen: SIGHUP brings a good configuration while dns.toml has a wrong key; the whole reload is turned down, with the change log's move.

Cause: a reload went through read_config, which reads the DNS file, although the front's settings apply only from the next start on. It also read the configuration file a second time after the check.

Change: a reload keeps the DNS settings of the start, and parses the very contents that were checked.

Evidence: two new cases fail on the code before with ConfigError about dns.toml and pass now; a start still reports the fault.

--- a/beechslip/config.py
+++ b/beechslip/config.py
@@ -138,6 +138,12 @@
     """
     env = os.environ if env is None else env
     path, contents = _load_file(env)
+    dns = read_dns_config(Path(env["EDGE_DNS"]) if env.get("EDGE_DNS") else DNS_FILE)
+    return _parse_config(env, path, contents, dns)
+
+
+def _parse_config(env: Mapping[str, str], path: str, contents: Any, dns: DnsConfig | None) -> Config:
+    """Return the configuration in the file's contents and the environment. Raises ConfigError if it is invalid."""
     if not isinstance(contents, dict) or not isinstance(contents.get("settings"), dict):
         raise ConfigError(f"{path}: expected a JSON object with an object 'settings'")
     known = contents.get("known")
@@ -151,7 +157,7 @@
         known_events=known if isinstance(known, dict) else {},
         ops_address=_parse_optional_address(env.get("EDGE_OPS") or contents.get("ops")),
         max_sockets=_read_max_sockets(contents.get("limits")),
-        dns=read_dns_config(Path(env["EDGE_DNS"]) if env.get("EDGE_DNS") else DNS_FILE),
+        dns=dns,
         file_contents={name: None if name == "known" else value for name, value in contents.items()},
     )
 
@@ -194,7 +200,7 @@
         check_reread_file(before.file_contents, contents)
     except IncompleteFileError as error:
         raise ConfigError(f"{path}: {error}") from None
-    return read_config(env)
+    return _parse_config(env, path, contents, before.dns)  # the DNS front's settings apply from the next start on
 
 
 def _load_file(env: Mapping[str, str]) -> tuple[str, Any]:
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -205,6 +205,22 @@
         reread_config(old_config, env)
 
 
+@pytest.mark.parametrize("text", ["enabled = true\nzone = 'z'\nlisten = 7\n", "enabled = tru"])
+def test_reread_config_does_not_read_the_dns_file(tmp_path: Path, text: str) -> None:
+    """Guards against a good configuration that is turned down for another file, which holds from the next start on."""
+    path, dns_path = tmp_path / "config.json", tmp_path / "dns.toml"
+    dns_path.write_text("enabled = true\nzone = 'z'\nlisten = '127.0.0.1:5353'\n")
+    env = {"EDGE_CONFIG": str(path), "EDGE_DNS": str(dns_path)}
+    path.write_text(json.dumps(config_file()))
+    old_config = read_config(env)
+    dns_path.write_text(text)
+    path.write_text(json.dumps(config_file(_add_class)))
+    new_config = reread_config(old_config, env)
+    assert "plot-2" in new_config.settings.classes and new_config.dns == old_config.dns is not None
+    with pytest.raises(ConfigError):
+        read_config(env)  # a start reports it
+
+
 @run
 async def test_an_open_request_keeps_the_rule_of_its_class() -> None:
     unsafe = replace(
