Reload: a fleet file that can't be used is rejected by itself, not with the new settings

What would be seen: with the fleet features on, SIGHUP brings a good configuration beside a fleet file with a wrong key, or one that asks for what only a restart can change; the whole reload is turned down, with the new classes and the change log's move.

Cause: the fleet file was read and applied before the settings, and its errors ended the reload.

Change: the configuration is taken; the fleet file is turned down whole by itself, logged and counted in reloads.refused, so that `order retune` still reports it. One that can't be opened for a moment is tried again by itself and no longer delays the settings.

Evidence: four new cases fail on the code before (the new class is missing) and pass now.

--- a/beechslip/reload.py
+++ b/beechslip/reload.py
@@ -12,7 +12,7 @@
 from beechslip.config import Config, ConfigError, ConfigUnreadableError, reread_config
 from beechslip.core.settings_transition import TRANSITION_MS, stricter_settings
 from beechslip.counters import Counters
-from beechslip.fleet.settings import FLEET_FILE, read_fleet
+from beechslip.fleet.settings import FLEET_FILE, FleetConfig, read_fleet
 from beechslip.platform.changelog import ChangeLogReader
 from beechslip.routing.interface import Settings
 
@@ -35,7 +35,7 @@
 class ConfigReloader:
     """Holds the current configuration, and passes new settings to the parts that use them.
 
-    Counts reloads in ``reloads``, and rejected configurations in ``reloads.refused``.
+    Counts reloads in ``reloads``, and rejected configurations and fleet files in ``reloads.refused``.
     """
 
     def __init__(self, config: Config, clock: Clock, counters: Counters) -> None:
@@ -58,19 +58,19 @@
         """
         try:
             config = reread_config(self.config, environ)
-            self._reload_peers(config)
         except ConfigUnreadableError as error:
             if retries > 0:
                 log.warning("new configuration not readable, will retry: %s", error)
                 self._clock.call_later(RELOAD_RETRY_DELAY_MS, lambda: self.reload(environ, retries - 1))
                 return
-            self._reject_config(error)
+            self._reject("configuration", error)
             return
         except ConfigError as error:
-            self._reject_config(error)
+            self._reject("configuration", error)
             return
         self._counters.add("reloads")
         self.config = config
+        self._reload_peers()
         self._change_settings(config.settings)
         if self.change_log is not None and config.changelog_address is not None:
             self.change_log.set_address(config.changelog_address)
@@ -78,26 +78,41 @@
                 "change log address set: address=%s last_seq=%d", config.changelog_address, self.change_log.last_seq
             )
 
-    def _reject_config(self, error: ConfigError) -> None:
+    def _reject(self, what: str, error: ConfigError) -> None:
         self._counters.add("reloads.refused")
-        log.error("new configuration rejected: %s", error)
+        log.error("new %s rejected: %s", what, error)
 
-    def _reload_peers(self, config: Config) -> None:
+    def _reload_peers(self, retries: int = MAX_RELOAD_RETRIES) -> None:
         """Apply the peers that the configuration and the fleet file name now.
 
-        Raises ConfigError, with nothing changed, if that needs a restart.
+        A fleet file that is invalid, or needs a restart, is rejected by itself and changes nothing: it must not keep
+        the proxy from the settings and the change log that the configuration names. One that can't be read at the
+        moment is tried again up to ``retries`` times.
         """
         if self.peering is None:
             return
-        fleet = read_fleet(fleet_file_path(), config)
+        from beechslip.peering import settings_digest
+
+        self.peering.settings_digest = settings_digest(self.config)
+        try:
+            self.peering.reload(self._read_enabled_fleet(), self.config.settings)
+        except ConfigUnreadableError as error:
+            if retries > 0:
+                log.warning("new fleet file not readable, will retry: %s", error)
+                self._clock.call_later(RELOAD_RETRY_DELAY_MS, lambda: self._reload_peers(retries - 1))
+                return
+            self._reject("fleet file", error)
+        except ConfigError as error:
+            self._reject("fleet file", error)
+
+    def _read_enabled_fleet(self) -> FleetConfig:
+        """Read the fleet file. Raises ConfigError if it is invalid, absent or off."""
+        fleet = read_fleet(fleet_file_path(), self.config)
         if fleet is None:
             raise ConfigError(
                 "the fleet file is now absent or off: its features can be turned off only with a restart"
             )
-        from beechslip.peering import settings_digest
-
-        self.peering.reload(fleet, config.settings)
-        self.peering.settings_digest = settings_digest(config)
+        return fleet
 
     def _change_settings(self, settings: Settings) -> None:
         """Apply the stricter of old and new settings first, and the new ones alone once clients use them too."""
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -8,15 +8,21 @@
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
+from unittest.mock import Mock
 
 import dns.rcode
 import pytest
 
-from beechslip.config import ConfigError, read_config, reread_config
+from beechslip.clock import ManualClock
+from beechslip.config import ConfigError, ConfigUnreadableError, read_config, reread_config
 from beechslip.core.messages import SettingsChanged
 from beechslip.core.settings_transition import TRANSITION_MS, stricter_settings
+from beechslip.counters import Counters
+from beechslip.fleet.settings import FleetConfig
+from beechslip.peering import settings_digest
 from beechslip.proxy import Proxy
+from beechslip.reload import RELOAD_RETRY_DELAY_MS, ConfigReloader
 from beechslip.routing import interface as i
 from beechslip.routing.wire.settings import read_settings
 from lab.stand import HANG, OK, RESET, SETTINGS, InProcessProxy, fetch, run, until
@@ -207,7 +213,7 @@
 
 @pytest.mark.parametrize("text", ["enabled = true\nzone = 'z'\nlisten = 7\n", "enabled = tru"])
 def test_reread_config_does_not_read_the_dns_file(tmp_path: Path, text: str) -> None:
-    """Guards against a good configuration that is turned down for another file, which holds from the next start on."""
+    """Guards against a good configuration that is turned down for a file that holds only from the next start on."""
     path, dns_path = tmp_path / "config.json", tmp_path / "dns.toml"
     dns_path.write_text("enabled = true\nzone = 'z'\nlisten = '127.0.0.1:5353'\n")
     env = {"EDGE_CONFIG": str(path), "EDGE_DNS": str(dns_path)}
@@ -221,6 +227,63 @@
         read_config(env)  # a start reports it
 
 
+class FakePeering:
+    """Records the fleet files that were applied."""
+
+    def __init__(self) -> None:
+        self.settings_digest = 0
+        self.applied: list[str] = []
+
+    def reload(self, fleet: FleetConfig, settings: i.Settings) -> None:
+        self.applied.append(fleet.name)
+
+
+FLEET_TEXT = "enabled = true\nname = 'f2'\npeers = ['127.0.0.1:1']\n"
+
+
+@pytest.mark.parametrize("fleet_text", ["enabled = true\nnovelty = 1\n", "enabled = false\n", "enabled = tru"])
+def test_a_reload_takes_the_settings_beside_a_fleet_file_that_is_rejected(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, fleet_text: str
+) -> None:
+    """Guards against a good configuration that is turned down for a fault in the fleet file."""
+    path, fleet_path = tmp_path / "config.json", tmp_path / "fleet.toml"
+    env = {"EDGE_CONFIG": str(path)}
+    monkeypatch.setenv("EDGE_FLEET", str(fleet_path))
+    path.write_text(json.dumps(config_file()))
+    reloader = ConfigReloader(read_config(env), ManualClock(), counters := Counters())
+    reloader.peering = peering = cast(Any, FakePeering())
+    path.write_text(json.dumps(config_file(_add_class)))
+    fleet_path.write_text(fleet_text)
+    reloader.reload(env)
+    assert "plot-2" in reloader.settings.classes and peering.settings_digest == settings_digest(reloader.config)
+    assert peering.applied == [] and counters["reloads"] == counters["reloads.refused"] == 1
+    fleet_path.write_text(FLEET_TEXT)
+    reloader.reload(env)
+    assert peering.applied == ["f2"] and (counters["reloads"], counters["reloads.refused"]) == (2, 1)
+
+
+def test_a_fleet_file_that_can_not_be_read_for_a_moment_is_tried_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against new settings that wait for, or are lost with, a fleet file that can't be opened."""
+    path, fleet_path = tmp_path / "config.json", tmp_path / "fleet.toml"
+    env = {"EDGE_CONFIG": str(path)}
+    monkeypatch.setenv("EDGE_FLEET", str(fleet_path))
+    path.write_text(json.dumps(config_file()))
+    fleet_path.write_text(FLEET_TEXT)
+    reloader = ConfigReloader(read_config(env), clock := ManualClock(), counters := Counters())
+    reloader.peering = peering = cast(Any, FakePeering())
+    path.write_text(json.dumps(config_file(_add_class)))
+    with monkeypatch.context() as patched:
+        unreadable = ConfigUnreadableError("no descriptor")
+        patched.setattr("beechslip.reload.read_fleet", Mock(side_effect=unreadable))
+        reloader.reload(env)
+        clock.advance(RELOAD_RETRY_DELAY_MS)
+        assert "plot-2" in reloader.settings.classes and peering.applied == []
+    clock.advance(RELOAD_RETRY_DELAY_MS)
+    assert peering.applied == ["f2"] and (counters["reloads"], counters["reloads.refused"]) == (1, 0)
+
+
 @run
 async def test_an_open_request_keeps_the_rule_of_its_class() -> None:
     unsafe = replace(
