Change log: a silent call is kept beside a new one, so that a slow log is heard

Cause: the reader gave each call up after 1.8 s without a byte and asked anew, which began the wait for its turn anew. The timeout is right for a stream that died without a sign, and wrong for one that is slow; both look the same. A connection that came up after more than 0.8 s and a stream that stalled were lost in the same way.

Change: after that silence another call is made beside the silent one (watch_calls.py). A dead connection costs what it cost before.

Evidence: six new cases time out on the code before: a slow log with none to three dead connections before it, one that is slower still, late connections, a stream that goes on after a stall. The tests' patched constant has moved to the new module; nothing else in them changed.

--- a/beechslip/platform/changelog.py
+++ b/beechslip/platform/changelog.py
@@ -1,4 +1,4 @@
-"""The change log's reader. It watches the event stream, and reconnects if the stream ends, breaks or falls silent."""
+"""The change log's reader. It watches the event stream, and calls again if that ends, breaks or falls silent."""
 
 from __future__ import annotations
 
@@ -14,7 +14,9 @@
 from beechslip.core.messages import EndpointListUpdate, PurgeReceived
 from beechslip.core.model import Backend
 from beechslip.counters import Counters
+from beechslip.platform import watch_calls
 from beechslip.platform.endpoint_list import ReadyBackendNames
+from beechslip.platform.watch_calls import OnBytes, WatchCalls
 from beechslip.platform.watch_events import (
     BadEventError,
     ChangeLogUpdate,
@@ -26,11 +28,6 @@
 
 log = logging.getLogger("beechslip.changelog")
 
-# Seconds without received bytes after which the reader reconnects. The log sends a comment each second. Events that a
-# stopped log would have sent count as notified after 4 s.
-SILENCE_TIMEOUT_S = 1.8
-RECONNECT_DELAY_S = 0.1  # delay between two connections
-CONNECT_TIMEOUT_S = 0.8
 # A doubtful list is applied after this fraction of the drain grace, whatever arrives until then.
 DOUBTFUL_LIST_GRACE_FRACTION = 0.6
 DEFAULT_DRAIN_GRACE_S = 0.5  # used if the settings give no grace
@@ -71,6 +68,7 @@
             self._record_endpoints(update)
         self._doubtful_list_timer: asyncio.TimerHandle | None = None  # runs until a doubtful list is applied
         self._address_changed = asyncio.Event()
+        self._has_called = False
         # The number after which the stream was last requested again, because of an unreadable event, a gap or a
         # doubtful list.
         self._requested_again_after = 0
@@ -94,48 +92,56 @@
                 self._doubtful_list_timer.cancel()
 
     async def _watch_until_cancelled(self) -> None:
-        timeout = aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S, sock_read=SILENCE_TIMEOUT_S)
+        async def handle_connected(*_: object) -> None:
+            calls.connected()
+
+        trace_config = aiohttp.TraceConfig()
+        trace_config.on_connection_create_end.append(handle_connected)
         async with aiohttp.ClientSession(
-            timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), trust_env=False, auto_decompress=False
+            timeout=aiohttp.ClientTimeout(total=None),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            trust_env=False,
+            auto_decompress=False,
+            trace_configs=[trace_config],
         ) as session:
+            calls = WatchCalls(
+                lambda on_bytes: self._watch_once(session, on_bytes), self._count_call, self._handle_failure
+            )
             while True:
                 self._address_changed.clear()
-                await self._watch_address(session)
-                self._counters.add("changelog.reconnects")
-                if not self._address_changed.is_set():
-                    with contextlib.suppress(TimeoutError):
-                        await asyncio.wait_for(self._address_changed.wait(), RECONNECT_DELAY_S)
-
-    async def _watch_address(self, session: aiohttp.ClientSession) -> None:
-        """Keep one connection to the current address until it fails or the address changes."""
-        watch_task = asyncio.ensure_future(self._watch_once(session))
-        address_change_task = asyncio.ensure_future(self._address_changed.wait())
-        try:
-            # A log that has moved sends nothing more at its old address, but keeps its connections there open for a
-            # while.
-            await asyncio.wait({watch_task, address_change_task}, return_when=asyncio.FIRST_COMPLETED)
-            if watch_task.done():
-                watch_task.result()
-        except (aiohttp.ClientError, OSError, TimeoutError, BadEventError) as error:
+                # A log that has moved sends nothing more at its old address, but keeps its connections there open
+                # for a while.
+                await calls.run_until(self._address_changed)
+
+    def _count_call(self) -> None:
+        """Count each call but the first."""
+        if self._has_called:
+            self._counters.add("changelog.reconnects")
+        self._has_called = True
+
+    def _handle_failure(self, error: BaseException) -> None:
+        if isinstance(error, (aiohttp.ClientError, OSError, TimeoutError, BadEventError)):
             log.info("change log connection failed: error=%r", error)
-        except Exception:
-            # An unexpected response must not end the proxy.
-            self._counters.add("fault.changelog")
-            log.exception("change log connection failed unexpectedly")
-        finally:
-            for task in (watch_task, address_change_task):
-                task.cancel()
-            await asyncio.gather(watch_task, address_change_task, return_exceptions=True)
+            return
+        # An unexpected response must not end the proxy.
+        self._counters.add("fault.changelog")
+        log.error("change log connection failed unexpectedly", exc_info=error)
 
-    async def _watch_once(self, session: aiohttp.ClientSession) -> None:
+    async def _watch_once(self, session: aiohttp.ClientSession, on_bytes: OnBytes) -> None:
+        """Make one call and handle its events until the stream ends, fails or is silent for too long."""
         parser = EventStreamParser()
         headers = {"Last-Event-ID": str(self.last_seq), "Accept": "text/event-stream"}
         url = f"http://{self._address}/changes"
-        async with session.get(url, headers=headers, allow_redirects=False) as response:
+        async with (
+            asyncio.timeout(watch_calls.CALL_TIMEOUT_S) as timeout,
+            session.get(url, headers=headers, allow_redirects=False) as response,
+        ):
             if response.status != 200:
                 raise BadEventError(f"unexpected status {response.status} of the change log: expected 200")
             try:
                 async for chunk in response.content.iter_any():
+                    timeout.reschedule(asyncio.get_running_loop().time() + watch_calls.CALL_TIMEOUT_S)
+                    on_bytes()
                     for event in parser.feed(chunk):
                         self._handle_event(event)
             except asyncio.CancelledError:
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -16,6 +16,7 @@
 from beechslip.core.model import Backend
 from beechslip.counters import Counters
 from beechslip.platform.changelog import ChangeLogReader
+from beechslip.platform.watch_calls import MAX_CALLS
 from lab.stand import HANG, RESET, FakeBackend, listening, read_message, run, until
 
 
@@ -87,9 +88,14 @@
     assert [fields["Last-Event-ID"] for _, fields, _ in fake_log.seen] == ["3", "5"]
 
 
+def set_silence_timeout(monkeypatch: pytest.MonkeyPatch, seconds: float) -> None:
+    monkeypatch.setattr("beechslip.platform.watch_calls.SILENCE_TIMEOUT_S", seconds)
+    monkeypatch.setattr("beechslip.platform.watch_calls.CONNECT_TIMEOUT_S", seconds)
+
+
 @run
 async def test_reader_reconnects_to_silent_change_log(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("beechslip.platform.changelog.SILENCE_TIMEOUT_S", 0.01)
+    set_silence_timeout(monkeypatch, 0.01)
     fake_log = FakeBackend("log", HANG)
     async with listening(fake_log):
         host, port = fake_log.address.split(":")
@@ -210,7 +216,7 @@
 async def test_reader_reconnects_if_stream_is_silent_from_the_start_and_posts_missed_drain(
     monkeypatch: pytest.MonkeyPatch, head: bytes
 ) -> None:
-    monkeypatch.setattr("beechslip.platform.changelog.SILENCE_TIMEOUT_S", 0.05)
+    set_silence_timeout(monkeypatch, 0.05)
 
     class SilentChangeLog(ScriptedChangeLog):
         async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -285,3 +291,101 @@
     async with running_reader(ScriptedChangeLog("log", event_bytes, b"")) as (_, posted):
         await until(lambda: posted)
         assert posted[0] == PurgeReceived("7f3a", 0, 1.0)
+
+
+SILENCE_S = 0.1  # the reader's silence timeout in the tests of slow logs
+SLOW_S = 3.5 * SILENCE_S  # time after which a slow log responds to a call
+
+
+class SlowChangeLog(FakeBackend):
+    """A change log that responds to each call only after it has waited for ``delays_s``, one entry for each call."""
+
+    def __init__(self, *delays_s: float) -> None:
+        super().__init__("log")
+        self.delays_s = list(delays_s)  # the last entry is used for all further calls
+        self.most_open = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.seen.append(await read_message(reader))
+        self.connections += 1
+        self.most_open = max(self.most_open, self.connections)
+        delay_s = self.delays_s.pop(0) if len(self.delays_s) > 1 else self.delays_s[0]
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            await asyncio.wait_for(reader.read(), delay_s)  # ends early if the reader leaves
+            self.connections -= 1
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + purge_event(4))
+        await reader.read()
+        self.connections -= 1
+
+
+@run
+@pytest.mark.parametrize(
+    "delays_s",
+    [
+        (SLOW_S,),
+        (1000.0, SLOW_S),  # the connection of the first call is dead
+        (1000.0, 1000.0, 1000.0, SLOW_S),
+        (3.0 * SLOW_S, *[1000.0] * 50),  # slower than the time for which the later calls are kept
+    ],
+)
+async def test_reader_hears_a_log_that_responds_later_than_its_silence_timeout(
+    monkeypatch: pytest.MonkeyPatch, delays_s: tuple[float, ...]
+) -> None:
+    """Guards against a reader that gives each call up before its turn, and never hears a slow log."""
+    set_silence_timeout(monkeypatch, SILENCE_S)
+    async with running_reader(fake_log := SlowChangeLog(*delays_s)) as (_, posted):
+        await until(lambda: posted)
+        assert posted == [PurgeReceived("4", 0, 1.0)]
+        await until(lambda: fake_log.connections == 1)  # the other calls have been ended
+        assert fake_log.most_open <= MAX_CALLS
+
+
+@run
+async def test_reader_hears_a_log_whose_connections_come_up_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a reader that gives each connection up before it comes up."""
+    set_silence_timeout(monkeypatch, SILENCE_S)
+    loop = asyncio.get_running_loop()
+    connect = loop.sock_connect
+
+    async def connect_late(*arguments: Any) -> None:
+        await asyncio.sleep(SLOW_S)
+        await connect(*arguments)
+
+    monkeypatch.setattr(loop, "sock_connect", connect_late)
+    async with running_reader(fake_log := SlowChangeLog(0.0)) as (_, posted):
+        await until(lambda: posted)
+        await until(lambda: fake_log.connections == 1)
+        assert fake_log.most_open <= MAX_CALLS
+
+
+@run
+async def test_reader_bounds_its_calls_to_a_log_that_never_responds(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against calls that pile up at a log that hangs, and against one that is kept for ever."""
+    set_silence_timeout(monkeypatch, 0.02)
+    monkeypatch.setattr("beechslip.platform.watch_calls.CALL_TIMEOUT_S", 0.3)
+    async with running_reader(fake_log := SlowChangeLog(1000.0)) as (reader, _):
+        await until(lambda: len(fake_log.seen) >= 10 * MAX_CALLS)
+        assert fake_log.most_open <= MAX_CALLS + 1  # the log may see a call end only after the next has begun
+        reader.set_address(Address("127.0.0.1", 9))
+        await until(lambda: fake_log.connections == 0)
+
+
+@run
+async def test_reader_keeps_a_silent_stream_while_it_calls_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against losing a stream that a crowded log goes on with before it responds to another call."""
+    set_silence_timeout(monkeypatch, SILENCE_S)
+
+    class StallingChangeLog(FakeBackend):
+        async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.seen.append(await read_message(reader))
+            if len(self.seen) == 1:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + purge_event(4))
+                await asyncio.sleep(SLOW_S)
+                writer.write(purge_event(5))
+            await reader.read()
+
+    async with running_reader(fake_log := StallingChangeLog("log")) as (_, posted):
+        await until(lambda: len(posted) == 2)
+        assert [update.object for update in posted] == ["4", "5"]
+        assert [fields["Last-Event-ID"] for _, fields, _ in fake_log.seen[:2]] == ["3", "4"]
