Orders: inspect reports a drained instance as not ready, and not as died

The instance is alive and responds.

Change: an instance in state `not ready` has responded, so its inspection is done, with that state in the detail.

Evidence: the new case of the step tests fails on the code before ("wait" where "done" is wanted); 69 cases of orders pass.

--- a/beechslip/orders/step_run.py
+++ b/beechslip/orders/step_run.py
@@ -20,7 +20,7 @@
 """Time after the reload signal within which the reload shows in the proxy's counters."""
 
 INSPECT_TIMEOUT_MS = 15_000.0
-"""Time after which an inspection fails if the instance is not healthy or a previous agent has not released it."""
+"""Time after which an inspection fails if the instance does not respond or a previous agent has not released it."""
 
 EXIT_NOT_OBSERVED = "nobody saw how"
 """Part of a step's detail if no agent observed how the process ended."""
@@ -249,6 +249,7 @@
 
     def _inspect_action(self, now_ms: float, view: InstanceView) -> StepAction:
         summary = f"{view.state}, process {view.pid or '-'}, {view.restarts} restarts, {view.served:.0%} served"
-        if view.state == "healthy" or (view.state == "drained" and view.has_free_address):
+        is_responding = view.state in ("healthy", "not ready")
+        if is_responding or (view.state == "drained" and view.has_free_address):
             return done_action(summary)
         return WAIT_ACTION if now_ms - self.began_ms < INSPECT_TIMEOUT_MS else died_action(summary)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -268,6 +268,12 @@
     ),
     "retune without a process": ("retune", [InstanceView("running", "waiting")], ["refused"], "not running"),
     "inspected": ("inspect", [RUNNING_VIEW], ["done"], "healthy, process 7"),
+    "drained by an operator's call": (
+        "inspect",
+        [InstanceView("running", "not ready", 7)],
+        ["done"],
+        "not ready, process 7",
+    ),
     "unhealthy": ("inspect", [InstanceView("running", "unhealthy", 7)] * 20, ["wait"] * 15 + ["died"], "unhealthy"),
 }
 
