--- a/beechslip/core/engine.py
+++ b/beechslip/core/engine.py
@@ -195,7 +195,9 @@
             return
         if request.is_refusal_safe():
             retry_after_ms = to_ms(action.retry_after)
-            response = FinalResponse("refused", retry_after_ms=retry_after_ms, reason=action.reason)
+            response = FinalResponse(
+                "refused", retry_after_ms=retry_after_ms, reason=action.reason, detail=action.detail
+            )
             self._finish_request(request, response)
         else:
             self._finish_request(request, FinalResponse("failed", reason=action.reason))
--- a/beechslip/core/model.py
+++ b/beechslip/core/model.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Literal, Protocol
 
+from beechslip.routing.interface import RefusalDetail
+
 AttemptResultKind = Literal[
     "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "miss", "handed_out", "spoilt"
 ]
@@ -109,6 +111,7 @@
     retry_after_ms: float = 0.0
     cause: Literal["", "deadline", "duplicate", "fault", "sent before"] = ""
     reason: str = ""  # why, as stated by the router or the engine; for the log and the counter ``ended.REASON``
+    detail: RefusalDetail | None = None  # what the router's rejection was based on, for the log
 
 
 class AttemptExecutor(Protocol):
--- a/beechslip/core/responses.py
+++ b/beechslip/core/responses.py
@@ -12,6 +12,7 @@
 from beechslip.core.model import AttemptRequest, AttemptResult, FinalResponse
 from beechslip.core.requests import OpenRequest
 from beechslip.counters import Counters
+from beechslip.routing.interface import RefusalDetail
 
 log = logging.getLogger("beechslip.engine")
 
@@ -63,7 +64,7 @@
         """Log at DEBUG how an attempt ended, which explains what the router does next with its request."""
         if log.isEnabledFor(logging.DEBUG):
             log.debug(
-                "%s attempt %d at %s from %s: %s %s after %.0f ms",
+                "%s attempt %d at %s from %s: %s %s after %.0f ms, %.0f KB",
                 attempt_request.client_request.id,
                 attempt_request.number,
                 attempt_request.backend.name,
@@ -71,13 +72,14 @@
                 result.result,
                 result.note or "-",
                 elapsed_ms,
+                attempt_request.client_request.size_kb,
             )
 
     def _log_final_response(self, level: int, request: OpenRequest, response: FinalResponse) -> None:
         client_request = request.client_request
         log.log(
             level,
-            "%s %s %s after %.0f of %.0f ms, %.0f KB, attempts %d, retry %.0f, %s %s",
+            "%s %s %s after %.0f of %.0f ms, %.0f KB, attempts %d, retry %.0f, %s %s%s",
             client_request.id,
             client_request.class_name,
             response.kind,
@@ -88,6 +90,7 @@
             response.retry_after_ms,
             response.reason or "-",
             response.cause,
+            "" if response.detail is None else _describe_detail(response.detail),
         )
 
     def _may_log(self) -> bool:
@@ -97,3 +100,14 @@
             self._lines_in_period = 0
         self._lines_in_period += 1
         return self._lines_in_period <= MAX_LOG_LINES_PER_PERIOD
+
+
+def _describe_detail(detail: RefusalDetail) -> str:
+    """Return the part of a log line that says what a rejection was based on, after a semicolon."""
+    text = f"; band={detail.band} deficit={detail.deficit:.1f}"
+    if not detail.source:
+        return text
+    return (
+        f"{text} source={detail.source} in_flight={detail.source_in_flight} limit={detail.source_limit:.1f} "
+        f"fill_fraction={detail.fill_fraction:.2f}"
+    )
--- a/beechslip/routing/admission.py
+++ b/beechslip/routing/admission.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 
+from beechslip.routing import interface as i
 from beechslip.routing.concurrency import ConcurrencyLimits
 from beechslip.routing.context import CLOCK_RESOLUTION_S, RoutingContext
 from beechslip.routing.size_fairness import GuaranteedShares, SizeBandClassifier
@@ -78,6 +80,21 @@
             request.is_admitted = self._admission_shares.decide(request, is_accepted_by_density)
         return is_accepted_by_density or request.is_admitted
 
+    def refusal_detail(self, request: OpenRequest) -> i.RefusalDetail:
+        """Return what a rejection of the request is based on, for the log."""
+        source = request.refused_source
+        shares = self._admission_shares if source is None else self._fill_shares
+        detail = i.RefusalDetail(request.band.name.lower(), shares.deficit(request))
+        if source is None:
+            return detail
+        return replace(
+            detail,
+            source=source.name,
+            source_in_flight=source.in_flight,
+            source_limit=source.concurrency_limit,
+            fill_fraction=self._limits.fill_throttle(source).fraction,
+        )
+
     def utilization(self, backends: list[Backend]) -> float:
         """Return the utilization of ``backends`` as a fraction, where 1.0 means full.
 
--- a/beechslip/routing/dispatch.py
+++ b/beechslip/routing/dispatch.py
@@ -118,6 +118,7 @@
             self._serve_stale_or_end(request, "shed" if request.is_shed else "no backend")
             return
         if cache in self._endpoints.cache_set and not self._admission.may_fill(request, source):
+            request.refused_source = source
             source = None
             request.has_made_last_attempt = True
         self._send_attempt(request, cache, source)
@@ -188,7 +189,8 @@
             return
         del self._requests.open[request.request_id]
         if self._retries.is_harmless_to_repeat(request):
-            final: i.Action = i.Refuse(request.request_id, self._retries.retry_after(), reason)
+            detail = self._admission.refusal_detail(request)
+            final: i.Action = i.Refuse(request.request_id, self._retries.retry_after(), reason, detail)
         else:
             final = i.Fail(request.request_id, reason)
         self._context.actions.append(final)
--- a/beechslip/routing/health.py
+++ b/beechslip/routing/health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from enum import Enum
 
 from beechslip.routing import interface as i
 from beechslip.routing.cancellation import AttemptCancellation
@@ -30,6 +31,16 @@
 CACHE_FAILURE_ALLOWANCE = 3.0  # errors that any cache may return by chance; most answers need no source
 
 
+class EjectionCause(Enum):
+    """Why a backend is ejected, as the log states it."""
+
+    CONNECTION_FAILURES = "connections refused or reset"
+    SILENT = "overdue attempts without any answer"
+    FAILED_HEALTH_CHECK = "failed health check"
+    FAILED_TRIAL = "failed trial"
+    ERROR_OUTLIER = "more failures than its peers"
+
+
 class BackendHealth:
     """Sets the health fields of the backend records. Only this class ejects and restores backends."""
 
@@ -68,7 +79,7 @@
         # A reset alone is no sign of a restart.
         cache.has_lost_connection = cache.has_lost_connection or is_refused
         if cache.consecutive_connection_failures >= MAX_CONNECTION_FAILURES or is_trial:
-            self.eject(cache)
+            self.eject(cache, EjectionCause.CONNECTION_FAILURES)
 
     def record_overdue(self, cache: Backend, is_trial: bool) -> None:
         """Count an overdue attempt at a cache that has not answered since the attempt was sent.
@@ -79,7 +90,7 @@
         has_health_checks = self._context.settings.can_health_check
         max_overdue = MAX_OVERDUE_WITH_CHECKS if has_health_checks else OVERDUE_PER_HEALTH_CHECK
         if is_trial or cache.consecutive_overdue >= max_overdue:
-            self.eject(cache)
+            self.eject(cache, EjectionCause.SILENT)
         elif cache.consecutive_overdue % OVERDUE_PER_HEALTH_CHECK == 0:
             self._context.actions.append(i.HealthCheck(cache.name))
 
@@ -103,7 +114,7 @@
             return
         backend.has_lost_connection = True
         backend.ejected_until = min(backend.ejected_until, self._context.now)
-        self.eject(backend)
+        self.eject(backend, EjectionCause.FAILED_HEALTH_CHECK)
 
     def on_health_check_due(self, name: str) -> None:
         """Request a health check if the backend's ejection time is over and no check has been passed."""
@@ -128,13 +139,13 @@
         is_cache = backend in self._endpoints.cache_set
         if backend.is_ejected:
             if not is_cache:
-                self.eject(backend)
+                self.eject(backend, EjectionCause.ERROR_OUTLIER)
             return
         if self._is_outlier(backend, is_cache):
             backend.is_error_outlier = True
-            self.eject(backend)
+            self.eject(backend, EjectionCause.ERROR_OUTLIER)
 
-    def eject(self, backend: Backend) -> None:
+    def eject(self, backend: Backend, cause: EjectionCause) -> None:
         """Eject a backend for a time that doubles with each ejection; the origin is never ejected.
 
         Meanwhile its objects go to the next backend in rank. When a cache that was in service is ejected, the
@@ -151,6 +162,7 @@
         )
         is_first = not backend.is_ejected
         backend.is_ejected = True
+        self._log(f"ejected {backend.name} for {backend.ejected_until - now:.2f} s: {cause.value}")
         backend.has_passed_health_check = False
         is_parent_without_notes = backend in self._endpoints.parent_set and not self._context.settings.tells
         backend.trials_required = (
@@ -168,12 +180,17 @@
         """
         now = self._context.now
         has_restarted = backend.has_lost_connection
+        if backend.is_ejected:
+            self._log(f"restored {backend.name}{', in slow start' if has_restarted else ''}")
         backend.reset_health()
         if has_restarted:
             backend.started_at = max(backend.started_at, now)
         backend.last_heard_at = now
         backend.in_service_since = now
 
+    def _log(self, text: str) -> None:
+        self._context.actions.append(i.Log(text))
+
     def _is_outlier(self, backend: Backend, is_cache: bool) -> bool:
         """Return whether a backend fails more often than its peers in service, beyond chance."""
         now = self._context.now
--- a/beechslip/routing/interface.py
+++ b/beechslip/routing/interface.py
@@ -285,6 +285,27 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class RefusalDetail:
+    """What a rejection was based on, for the log.
+
+    Attributes:
+        band: the request's size band within its class.
+        deficit: the requests of the band that are owed to it (below 0: it is ahead of its guaranteed share).
+        source: the source that would have filled the miss; empty if there was none.
+        source_in_flight: the attempts in flight that name this source.
+        source_limit: its concurrency limit.
+        fill_fraction: the fraction of requests that may be filled, by density.
+    """
+
+    band: str
+    deficit: float
+    source: str = ""
+    source_in_flight: int = 0
+    source_limit: float = 0.0
+    fill_fraction: float = 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Final answer: rejected, and a retry is harmless after ``retry_after`` seconds (0: not stated)."""
@@ -292,6 +313,7 @@
     request: str
     retry_after: float = 0.0
     reason: EndReason = ""
+    detail: RefusalDetail | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/beechslip/routing/outcomes.py
+++ b/beechslip/routing/outcomes.py
@@ -8,7 +8,7 @@
 from beechslip.routing.context import RoutingContext
 from beechslip.routing.endpoints import EndpointTable
 from beechslip.routing.estimates import DurationEstimates
-from beechslip.routing.health import BackendHealth
+from beechslip.routing.health import BackendHealth, EjectionCause
 from beechslip.routing.overdue import OverdueMonitor
 from beechslip.routing.retries import RetryPolicy
 from beechslip.routing.slow_start import SlowStartPolicy
@@ -104,7 +104,7 @@
             is_refused = result == "connect_failed"
             self._health.record_connection_failure(cache, is_refused, trial_backend is cache)
         elif result in ("error", "timeout") and trial_backend is cache:
-            self._health.eject(cache)
+            self._health.eject(cache, EjectionCause.FAILED_TRIAL)
         if result == "error" and not outcome.note and cache in self._endpoints.cache_set:
             self._health.record_failure(cache)
 
@@ -123,7 +123,7 @@
         if is_faulty and not (request and request.has_made_last_attempt):
             self._health.record_failure(source)
         elif trial_backend is source and result in ("timeout", "cancelled"):
-            self._health.eject(source)
+            self._health.eject(source, EjectionCause.FAILED_TRIAL)
 
     def _record_success(
         self,
--- a/beechslip/routing/size_fairness.py
+++ b/beechslip/routing/size_fairness.py
@@ -48,6 +48,10 @@
         self._accepted_share: dict[str, float] = {}  # by class, of its recent requests
         self._deficit: dict[tuple[str, SizeBand], float] = {}
 
+    def deficit(self, request: OpenRequest) -> float:
+        """Return how many requests are owed to the request's band."""
+        return self._deficit.get((request.rule.name, request.band), 0.0)
+
     def decide(self, request: OpenRequest, is_accepted_by_density: bool) -> bool:
         """Return whether a request is accepted, by its density or because its band is owed one."""
         name = request.rule.name
--- a/beechslip/routing/state.py
+++ b/beechslip/routing/state.py
@@ -127,6 +127,7 @@
         "is_fill_accepted",
         "is_shed",
         "possibly_executed_since",
+        "refused_source",
         "request_id",
         "rule",
         "source_key",
@@ -156,3 +157,4 @@
         # The first decision on admission, which later attempts keep if it is True; None: not decided yet.
         self.is_admitted: bool | None = None
         self.is_fill_accepted: bool | None = None  # the same for its fill
+        self.refused_source: Backend | None = None  # the source from which it was not permitted to fill
--- a/bench/service_by_size.py
+++ b/bench/service_by_size.py
@@ -24,7 +24,7 @@
 
 LOG_LINE = re.compile(
     r"beechslip\.engine (?P<id>\S+) (?P<class>\S+) (?P<end>served|refused|failed|left) after (?P<after>\d+) of "
-    r"(?P<wait>\d+) ms, (?P<size>\d+) KB(?:, attempts (?P<attempts>\d+), retry \d+, (?P<reason>.*))?"
+    r"(?P<wait>\d+) ms, (?P<size>\d+) KB(?:, attempts (?P<attempts>\d+), retry \d+, (?P<reason>[^;]*))?"
 )
 SMALL_CLASS_REQUESTS = 400  # a class with fewer uses its largest quarter instead of its largest tenth
 LARGEST_FRACTION, SMALL_CLASS_FRACTION, NEXT_FRACTION = 0.1, 0.25, 0.2  # of a class's requests, largest first
--- a/tests/routing/test_health.py
+++ b/tests/routing/test_health.py
@@ -7,6 +7,7 @@
 import pytest
 
 from beechslip.routing import interface as i
+from beechslip.routing.health import EjectionCause
 from tests.helpers import (
     CACHES,
     HIT_NOTES_SETTINGS,
@@ -129,7 +130,7 @@
     router = RouterDriver(HIT_NOTES_SETTINGS).router
     returned_parent, serving_parent = (router.endpoints.backends[p] for p in PARENTS)
     router.endpoints.origin = None
-    router.health.eject(returned_parent)
+    router.health.eject(returned_parent, EjectionCause.SILENT)
     router.context.now += 4.0
     router.health.restore(returned_parent)
     router.context.now += back_for_s
--- a/tests/routing/test_overdue.py
+++ b/tests/routing/test_overdue.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from beechslip.routing import interface as i
+from beechslip.routing.health import EjectionCause
 from tests.helpers import (
     CACHES,
     HIT_NOTES_SETTINGS,
@@ -30,7 +31,7 @@
     # cache of a zone and was ejected, with its trial in flight.
     one_of_each = tuple(e for e in make_endpoints() if e.backend in (CACHES[0], PARENTS[0], ORIGIN))
     driver = RouterDriver(replace(HIT_NOTES_SETTINGS, can_health_check=True), listed=one_of_each)
-    driver.router.health.eject(driver.router.endpoints.backends[CACHES[0]])
+    driver.router.health.eject(driver.router.endpoints.backends[CACHES[0]], EjectionCause.SILENT)
     assert len(attempts(driver.ask("/a"))) == 1
     assert not [a for a in driver.advance_time(1.0) if isinstance(a, i.Cancel)]
 
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -8,6 +8,7 @@
 import pytest
 
 from beechslip.routing import interface as i
+from beechslip.routing.health import EjectionCause
 from tests.helpers import SETTINGS, RouterDriver, attempts, final_actions
 
 
@@ -109,7 +110,7 @@
 def test_retry_after_differs_between_clients() -> None:
     driver = RouterDriver()
     for backend in driver.router.endpoints.backends.values():
-        driver.router.health.eject(backend)
+        driver.router.health.eject(backend, EjectionCause.SILENT)
     waits = [driver.router.retries.retry_after() for _ in range(50)]
     soonest = min(b.ejected_until for b in driver.router.endpoints.backends.values() if b.is_ejected) - driver.now
     assert len(set(waits)) == 50 and min(waits) >= soonest and max(waits) - min(waits) > 0.2 * soonest
