--- a/beechslip/routing/dispatch.py
+++ b/beechslip/routing/dispatch.py
@@ -243,6 +243,7 @@
         An attempt that joins a fill in progress adds no transfer to the source's link.
         """
         now = self._context.now
+        attempt.is_size_known = self._estimates.is_size_known(request)
         attempt.cache.link.begin(now, attempt.transfer_time)
         source = attempt.source
         if source is None:
--- a/beechslip/routing/estimates.py
+++ b/beechslip/routing/estimates.py
@@ -30,9 +30,8 @@
 
     def open_request(self, event: i.Request, rule: i.ClassRule) -> OpenRequest:
         """Return the record of a new request, with a transfer time by its size, its copy or its class."""
-        settings = self._context.settings
-        has_known_transfer_time = event.size_kb > 0 and settings.flow_kb_s > 0
-        transfer_time = event.size_kb / settings.flow_kb_s if has_known_transfer_time else 0.0
+        flow_kb_s = self._context.settings.flow_kb_s
+        transfer_time = event.size_kb / flow_kb_s if event.size_kb > 0 and flow_kb_s > 0 else 0.0
         if transfer_time:
             self.update_mean_transfer_time(rule, transfer_time)
         expected = transfer_time or self.class_transfer_time(rule)
@@ -41,18 +40,21 @@
             request.transfer_time = self.copy_transfer_time.get(request.copy_key, expected)
         return request
 
+    def is_size_known(self, request: OpenRequest) -> bool:
+        """Return whether an answer to the request takes its transfer time on a free link of the stated rate.
+
+        False for unknown sizes or rates, for writes, and for conditional requests, which may need no bytes.
+        """
+        event = request.event
+        is_stated = event.size_kb > 0 and self._context.settings.flow_kb_s > 0
+        return is_stated and not event.conditional and not request.rule.write
+
     def can_be_sent_in_time(self, request: OpenRequest) -> bool:
         """Return whether the client's time left suffices for the bytes at full speed on a free link.
 
-        True for unknown sizes or rates, for writes, and for conditional requests, which may need no bytes.
+        True where the size is not known.
         """
-        event = request.event
-        if (
-            not event.size_kb
-            or self._context.settings.flow_kb_s <= 0
-            or event.conditional
-            or request.rule.write
-        ):
+        if not self.is_size_known(request):
             return True
         return request.transfer_time * MIN_TRANSFER_STRETCH <= request.deadline - self._context.now
 
--- a/beechslip/routing/link.py
+++ b/beechslip/routing/link.py
@@ -5,10 +5,7 @@
 import math
 from typing import NamedTuple
 
-from beechslip.routing.tallies import DecayingSum
-
-PACE_SPAN_S = 0.5  # s over which the recent pace is averaged
-FIXED_DELAY_S = 0.01  # s that an attempt may take beside its transfer; so small transfers do not appear slow
+from beechslip.routing.link_pace import MIN_DELAY_S, LinkPace
 
 
 class FillKey(NamedTuple):
@@ -19,11 +16,9 @@
 
 
 class Link:
-    """The transfers in progress on a link, their recent pace, and the limit on them. Times are in seconds."""
+    """The transfers in progress on a link, their pace, and the limit on them. Times are in seconds."""
 
     __slots__ = (
-        "_recent_elapsed",
-        "_recent_work",
         "_sent_at_sum",
         "_work_sum",
         "adjusted_at",
@@ -32,6 +27,7 @@
         "fills",
         "in_progress",
         "limit",
+        "pace",
         "resumes_at",
         "slow_at",
     )
@@ -48,20 +44,19 @@
         self.resumes_at = 0.0  # end of the pause after a transfer, while the limit is below one transfer
         self._sent_at_sum = 0.0  # of the transfers in progress
         self._work_sum = 0.0
-        self._recent_elapsed = DecayingSum(PACE_SPAN_S)
-        self._recent_work = DecayingSum(PACE_SPAN_S)
+        self.pace = LinkPace()
 
     def begin(self, now: float, work: float) -> None:
         """Count a transfer of ``work`` seconds at full speed that begins."""
         self.in_progress += 1
         self._sent_at_sum += now
-        self._work_sum += work + FIXED_DELAY_S
+        self._work_sum += work + MIN_DELAY_S
 
     def end(self, sent_at: float, work: float) -> None:
         """Count a transfer that has ended."""
         self.in_progress -= 1
         self._sent_at_sum -= sent_at
-        self._work_sum -= work + FIXED_DELAY_S
+        self._work_sum -= work + MIN_DELAY_S
         if not self.in_progress:
             self._sent_at_sum = self._work_sum = 0.0  # no rounding error is left
 
@@ -75,19 +70,6 @@
         if not self.fills[key]:
             del self.fills[key]
 
-    def add_recent(self, now: float, work: float, elapsed: float) -> None:
-        """Include a transfer that has ended in the recent pace."""
-        self._recent_elapsed.add(now, elapsed)
-        self._recent_work.add(now, work + FIXED_DELAY_S)
-
-    def recent_pace(self, now: float) -> float:
-        """Return the duration of recent transfers as a multiple of their transfer time.
-
-        That includes ``FIXED_DELAY_S`` for each; without any transfer it is 1.
-        """
-        work = self._recent_work.value_at(now)
-        return self._recent_elapsed.value_at(now) / work if work > 0.0 else 1.0
-
     def pace_in_progress(self, now: float) -> float:
         """Return the time that the transfers in progress have taken, as a multiple of their transfer time."""
         return (self.in_progress * now - self._sent_at_sum) / self._work_sum if self._work_sum > 0.0 else 1.0
--- a/beechslip/routing/link_limits.py
+++ b/beechslip/routing/link_limits.py
@@ -14,11 +14,13 @@
 from beechslip.routing.context import RoutingContext
 from beechslip.routing.link import Link
 from beechslip.routing.state import Backend, OpenRequest, SizeBand
-from beechslip.routing.tallies import DECAY_TIME_S, DecayingSum
+from beechslip.routing.tallies import DECAY_TIME_S, DecayingSum, WindowedMinimum
 
 # Paces are multiples of the transfer time at full speed.
-MIN_TARGET_PACE = 1.25  # delays alone make answers slower than 1 on a free link
-TARGET_PACE_FRACTION = 0.5  # of the pace that the largest requests can bear in the mean
+TARGET_SLACK_FRACTION = 0.15  # of the slack that the largest requests have, which the target pace may use up
+TARGET_OVER_LOWEST_PACE = 1.05  # lowest target, as a multiple of the lowest pace on any link
+LOWEST_PACE_WINDOW_S = 1.0  # s; spans a few transfers, and is short against a fault of 5 to 30 s
+MAX_EXPECTED_PACE = 2.0  # a request that can bear more is sent; the limits soon make the pace better
 SILENT_PACE_FACTOR = 2.0  # multiple of the target above which a link without any answer counts as silent
 MIN_TRANSFERS_TO_JUDGE = 2  # in progress; one alone may be slow by chance
 MIN_LIMIT = 0.1  # transfers; below 1 a pause follows each transfer
@@ -35,7 +37,9 @@
     def __init__(self, context: RoutingContext) -> None:
         """Start without limits."""
         self._context = context
-        self.target_pace = math.inf  # up to which the largest requests of all classes complete in time
+        # Up to which the largest requests of all classes complete in time, with some slack left.
+        self.target_pace = math.inf
+        self._lowest_pace = WindowedMinimum(LOWEST_PACE_WINDOW_S)  # of transfers that were alone, on any link
         # By class, of its largest requests: the time left at their arrival and their transfer times, s.
         self._largest: dict[str, tuple[DecayingSum, DecayingSum]] = {}
 
@@ -52,7 +56,7 @@
         bearable = min(
             time_left.total / work.total for time_left, work in self._largest.values() if work.total > 0.0
         )
-        self.target_pace = max(TARGET_PACE_FRACTION * bearable, MIN_TARGET_PACE)
+        self.target_pace = 1.0 + TARGET_SLACK_FRACTION * max(bearable - 1.0, 0.0)
 
     def is_limited(self, backend: Backend) -> bool:
         """Return whether a limit applies to a backend's link.
@@ -87,10 +91,10 @@
         return has_place
 
     def expected_pace(self, backend: Backend) -> float:
-        """Return the pace that a new transfer can expect, which is the target at most."""
+        """Return the pace that a transfer can expect which begins now."""
         if not self.is_limited(backend):
             return 1.0
-        return max(1.0, min(backend.link.recent_pace(self._context.now), self.target_pace))
+        return min(max(backend.link.pace.recent(self._context.now), 1.0), MAX_EXPECTED_PACE)
 
     def record_transfer(self, backend: Backend, work: float, elapsed: float, is_complete: bool) -> None:
         """Adjust a backend's limit to a transfer that has ended.
@@ -103,23 +107,33 @@
         """
         now = self._context.now
         link = backend.link
-        target = self.target_pace
         if is_complete:
             link.answered_at = now
-        elif elapsed <= target * work or link.answered_at <= now - elapsed:
+        elif elapsed <= self._target() * work or link.answered_at <= now - elapsed:
             return  # the client allowed little time, or the backend is silent
-        link.add_recent(now, work, elapsed)
-        pace = link.recent_pace(now)
+        is_alone = link.in_progress == 0
+        link.pace.add(now, work, elapsed, is_alone)
+        if is_alone:
+            self._lowest_pace.add(now, elapsed / work)
+        pace, target = link.pace.recent(now), self._target()
         if link.limit < math.inf:
             self._adjust_limit(link, pace, target)
             link.pause_after(now, work * target)
         elif pace > target:
-            self._set_first_limit(link, pace)
+            self._set_first_limit(link, pace, target)
 
-    def _set_first_limit(self, link: Link, pace: float) -> None:
+    def _target(self) -> float:
+        """Return the pace above which limits are cut.
+
+        Where no link is as fast as stated, not even for a transfer that is alone, load is not the reason.
+        """
+        lowest = self._lowest_pace.value if self._lowest_pace.value < math.inf else 1.0
+        return max(self.target_pace, TARGET_OVER_LOWEST_PACE * lowest, TARGET_OVER_LOWEST_PACE)
+
+    def _set_first_limit(self, link: Link, pace: float, target: float) -> None:
         """Limit a link at the transfers in progress, cut in proportion to their pace."""
         link.slow_at = link.adjusted_at = self._context.now
-        link.limit = max(link.in_progress * max(self.target_pace / pace, MAX_CUT_FACTOR), 1.0)
+        link.limit = max(link.in_progress * max(target / pace, MAX_CUT_FACTOR), 1.0)
 
     def _adjust_limit(self, link: Link, pace: float, target: float) -> None:
         """Cut a limit above the target pace; raise it below, if it is in use.
@@ -129,10 +143,14 @@
         """
         now = self._context.now
         span = min(now - link.adjusted_at, MAX_ADJUSTED_SPAN_S)
+        link.adjusted_at = now
         if pace > target:
             link.slow_at = now
             factor = max(target / pace, MAX_CUT_FACTOR) ** (span / CUT_TIME_S)
-            link.limit = max(link.limit * factor, MIN_LIMIT)
+            link.limit = max(link.limit * factor, self._min_limit())
         elif link.in_progress + 2.0 > link.limit:
             link.limit += LIMIT_GROWTH_PER_S * span
-        link.adjusted_at = now
+
+    def _min_limit(self) -> float:
+        """Return the lowest limit: the fleet may always have one transfer at a time on a link."""
+        return max(MIN_LIMIT, 1.0 / max(self._context.settings.proxies, 1))
--- a/beechslip/routing/outcomes.py
+++ b/beechslip/routing/outcomes.py
@@ -60,7 +60,7 @@
         if attempt.source is not None:
             attempt.source.in_flight -= 1
         self._end_transfers(attempt)
-        self._record_transfer(attempt, outcome, request)
+        self._record_transfer(attempt, outcome)
         if outcome.report and cache in self._endpoints.cache_set:
             report = outcome.report
             self._admission.record_load_report(cache, report.get("busy", 0.0), report.get("held", 0.0))
@@ -83,15 +83,12 @@
         if attempt.fill_key is not None:
             source.link.remove_fill(attempt.fill_key)
 
-    def _record_transfer(
-        self, attempt: AttemptInFlight, outcome: i.Outcome, request: OpenRequest | None
-    ) -> None:
+    def _record_transfer(self, attempt: AttemptInFlight, outcome: i.Outcome) -> None:
         """Record the pace of a transfer: of a hit for its cache's link, of a fill for its source's.
 
         Where notes do not tell hits, slow hits limit the source at first. Lookups then tell them apart.
         """
-        is_write = request is not None and request.rule.write
-        if is_write or attempt.is_joining or outcome.result not in ("ok", "timeout"):
+        if not attempt.is_size_known or attempt.is_joining or outcome.result not in ("ok", "timeout"):
             return
         is_fill = attempt.source is not None and outcome.note not in HIT_NOTES
         backend = attempt.source if is_fill and attempt.source is not None else attempt.cache
--- a/beechslip/routing/state.py
+++ b/beechslip/routing/state.py
@@ -75,6 +75,7 @@
         "is_counted_late",
         "is_joining",
         "is_lookup",
+        "is_size_known",
         "is_streaming",
         "number",
         "overdue_checks",
@@ -103,6 +104,9 @@
         self.retries_lost_answer = False  # repeats an attempt whose answer is presumed lost
         self.fill_key: FillKey | None = None  # where requests join fills: the one that it waits for
         self.is_joining = False  # the fill was in progress when the attempt was sent
+        self.is_size_known = (
+            False  # its answer takes ``transfer_time`` on a free link, if the rate is as stated
+        )
         self.is_lookup = False  # cached-only, and a miss may be followed by a fill
         self.is_counted_late = False  # already counted as a late fill
         self.trial_backend: Backend | None = None  # the ejected backend for which this attempt is the trial
--- a/beechslip/routing/tallies.py
+++ b/beechslip/routing/tallies.py
@@ -29,6 +29,30 @@
         return self.total
 
 
+class WindowedMinimum:
+    """The minimum of the values of the present and the previous window of time.
+
+    While there is no value in either, it is that of the windows before.
+    """
+
+    def __init__(self, window: float) -> None:
+        """Start without a value, with windows of ``window`` seconds."""
+        self.value = math.inf
+        self._window = window
+        self._window_end = -math.inf
+        self._previous = math.inf
+        self._current = math.inf
+
+    def add(self, now: float, value: float) -> None:
+        """Include a value at ``now``."""
+        if now >= self._window_end:
+            self._previous = self._current if now < self._window_end + self._window else math.inf
+            self._current = math.inf
+            self._window_end = now + self._window
+        self._current = min(self._current, value)
+        self.value = min(self._previous, self._current)
+
+
 class LatenessStats:
     """Decaying counts of timely and late answers, and the time of the last cut that they caused."""
 
--- /dev/null
+++ b/tests/routing/test_link_limits.py
@@ -0,0 +1,115 @@
+"""Link limits: the transfers of one proxy on a backend's link, by the pace of those that end."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import pytest
+
+from beechslip.routing.link_limits import MIN_LIMIT
+from beechslip.routing.state import Backend
+from tests.helpers import CACHES, RouterDriver
+
+WORK_S = 0.2  # transfer time at the full rate
+TARGET_PACE = 1.3
+
+
+def overloaded(driver: RouterDriver, in_progress: int = 6) -> Backend:
+    """Return a cache on whose link ``in_progress`` transfers go on, after some that were three times as slow."""
+    cache = driver.router.endpoints.backends[CACHES[0]]
+    driver.router.links.target_pace = TARGET_PACE
+    for _ in range(in_progress):
+        cache.link.begin(driver.now, WORK_S)
+    end_transfers(driver, cache, 4, 3.0)
+    return cache
+
+
+def end_transfers(driver: RouterDriver, cache: Backend, count: int, pace: float, seconds: float = 0.1) -> None:
+    """End ``count`` transfers, one after another in ``seconds`` each, beside those that go on."""
+    for _ in range(count):
+        driver.advance_time(seconds)
+        driver.router.context.now = driver.now
+        driver.router.links.record_transfer(cache, WORK_S, WORK_S * pace, is_complete=True)
+
+
+def test_slow_transfers_limit_a_link_below_those_in_progress() -> None:
+    driver = RouterDriver()
+    cache = overloaded(driver)
+    assert 1.0 <= cache.link.limit < 6.0 and not driver.router.links.has_place(cache)
+
+
+def test_limit_is_cut_while_transfers_are_slow_and_grows_while_they_are_not() -> None:
+    driver = RouterDriver()
+    cache = overloaded(driver)
+    end_transfers(driver, cache, 40, 3.0)
+    lowest = cache.link.limit
+    assert lowest == max(MIN_LIMIT, 1.0 / driver.router.context.settings.proxies)
+    end_transfers(driver, cache, 40, 1.0)
+    assert lowest + 1.0 < cache.link.limit < math.inf
+
+
+def test_limit_is_lifted_when_nothing_is_slow_or_blocked_any_more() -> None:
+    driver = RouterDriver()
+    cache = overloaded(driver)
+    driver.router.context.now = driver.now = driver.now + 5.0
+    assert driver.router.links.has_place(cache) and cache.link.limit == math.inf
+
+
+def test_below_one_transfer_a_pause_follows_each() -> None:
+    driver = RouterDriver()
+    cache = overloaded(driver, in_progress=1)
+    end_transfers(driver, cache, 40, 3.0)
+    cache.link.end(driver.now, WORK_S)
+    pause = cache.link.resumes_at - driver.now
+    assert not driver.router.links.has_place(cache)
+    assert pause == pytest.approx(WORK_S * TARGET_PACE * (1.0 / cache.link.limit - 1.0))
+    driver.router.context.now = driver.now + pause
+    assert driver.router.links.has_place(cache)
+
+
+def test_link_of_a_silent_backend_is_not_limited_so_that_overdue_checks_find_it() -> None:
+    driver = RouterDriver()
+    cache = overloaded(driver)
+    for _ in range(6):
+        cache.link.end(driver.now - 0.4, WORK_S)
+        cache.link.begin(driver.now + 0.01, WORK_S)
+    driver.router.context.now = driver.now = driver.now + 2.0  # no transfer has ended since
+    assert driver.router.links.has_place(cache)
+
+
+# Guards against limits that take backends which are slower than stated for overloaded ones.
+def test_transfers_that_are_alone_and_slow_on_all_links_are_no_overload() -> None:
+    driver = RouterDriver()
+    driver.router.links.target_pace = TARGET_PACE
+    caches = [driver.router.endpoints.backends[name] for name in CACHES]
+    for _ in range(20):
+        for cache in caches:
+            end_transfers(driver, cache, 1, 1.8)
+    assert all(cache.link.limit == math.inf for cache in caches)
+
+
+def test_one_link_that_is_slower_than_the_others_is_limited() -> None:
+    driver = RouterDriver()
+    driver.router.links.target_pace = TARGET_PACE
+    caches = [driver.router.endpoints.backends[name] for name in CACHES]
+    for _ in range(20):
+        for number, cache in enumerate(caches):
+            end_transfers(driver, cache, 1, 1.0 if number else 1.8)
+    assert [cache.link.limit < math.inf for cache in caches] == [True, False, False, False]
+
+
+@pytest.mark.parametrize(
+    ("request_options", "is_limited"),
+    [({"size": 800.0}, True), ({"size": 0.0}, False), ({"size": 800.0, "rule": "report"}, False)],
+)
+def test_only_reads_of_known_sizes_show_the_pace(request_options: dict[str, Any], is_limited: bool) -> None:
+    driver = RouterDriver()
+    for n in range(20):
+        driver.ask(f"/l{n}", left=3.0, size=8000.0)  # the largest requests, which set the target
+        driver.ask(f"/q{n}", left=3.0, name=f"q{n}", **request_options)
+    for key in [key for key in driver.in_flight if key[0].startswith("q")]:
+        driver.now += 0.05
+        driver.finish_attempt(key, "ok", "hit")
+    limits = [backend.link.limit for backend in driver.router.endpoints.backends.values()]
+    assert any(limit < math.inf for limit in limits) == is_limited
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -50,6 +50,14 @@
         assert driver.handle_event(event) == []
 
 
+def finish_all_attempts(driver: RouterDriver) -> list[i.Refuse | i.Fail]:
+    """Let all waits end and all attempts time out, and return the final answers."""
+    answers = final_actions(driver.advance_time(7.0))  # of requests that wait for a place on a link
+    while driver.in_flight:
+        answers += final_actions(driver.finish_attempt(min(driver.in_flight), "timeout"))
+    return [answer for answer in answers if isinstance(answer, (i.Refuse, i.Fail))]
+
+
 def run_random_events(seed: int) -> list[str]:
     """Send random events, check the invariants, and return all actions as text."""
     rng, driver = random.Random(seed), RouterDriver(replace(SETTINGS, hedging=False))
@@ -100,14 +108,8 @@
             if isinstance(action, (i.Refuse, i.Fail)):
                 ended[action.request] += 1
                 assert ended[action.request] == 1
-    driver.advance_time(7.0)
-    for key in sorted(driver.in_flight):
-        for result in ("timeout",) if key in driver.in_flight else ():
-            for action in final_actions(driver.finish_attempt(key, result)):
-                ended[action.request] += 1  # type: ignore[union-attr]
-    while driver.in_flight:
-        for action in final_actions(driver.finish_attempt(min(driver.in_flight), "timeout")):
-            ended[action.request] += 1  # type: ignore[union-attr]
+    for answer in finish_all_attempts(driver):
+        ended[answer.request] += 1
     assert set(deadline) == set(ended) and set(ended.values()) == {1}
     assert not driver.router.requests.open and not driver.router.requests.in_flight
     return [repr(action) for action in driver.actions]
