--- a/beechslip/routing/link_limits.py
+++ b/beechslip/routing/link_limits.py
@@ -20,7 +20,8 @@
 TARGET_SLACK_FRACTION = 0.15  # of the slack that the largest requests have, which the target pace may use up
 TARGET_OVER_LOWEST_PACE = 1.05  # lowest target, as a multiple of the lowest pace on any link
 LOWEST_PACE_WINDOW_S = 1.0  # s; spans a few transfers, and is short against a fault of 5 to 30 s
-MAX_EXPECTED_PACE = 2.0  # a request that can bear more is sent; the limits soon make the pace better
+MAX_EXPECTED_PACE = 2.0  # the limits soon make a worse pace better
+MAX_SHORT_TRANSFER_S = 0.05  # s of transfer time up to which the duration shows the delay
 SILENT_PACE_FACTOR = 2.0  # multiple of the target above which a link without any answer counts as silent
 MIN_TRANSFERS_TO_JUDGE = 2  # in progress; one alone may be slow by chance
 MIN_LIMIT = 0.1  # transfers; below 1 a pause follows each transfer
@@ -40,6 +41,7 @@
         # Up to which the largest requests of all classes complete in time, with some slack left.
         self.target_pace = math.inf
         self._lowest_pace = WindowedMinimum(LOWEST_PACE_WINDOW_S)  # of transfers that were alone, on any link
+        self._shortest_delay = math.inf  # s beside a short transfer that was alone, on any link
         # By class, of its largest requests: the time left at their arrival and their transfer times, s.
         self._largest: dict[str, tuple[DecayingSum, DecayingSum]] = {}
 
@@ -111,10 +113,9 @@
             link.answered_at = now
         elif elapsed <= self._target() * work or link.answered_at <= now - elapsed:
             return  # the client allowed little time, or the backend is silent
-        is_alone = link.in_progress == 0
-        link.pace.add(now, work, elapsed, is_alone)
-        if is_alone:
-            self._lowest_pace.add(now, elapsed / work)
+        if link.in_progress == 0:
+            self._record_transfer_alone(work, elapsed)
+        link.pace.add(now, work, elapsed, self._shortest_delay if self._shortest_delay < math.inf else 0.0)
         pace, target = link.pace.recent(now), self._target()
         if link.limit < math.inf:
             self._adjust_limit(link, pace, target)
@@ -122,6 +123,12 @@
         elif pace > target:
             self._set_first_limit(link, pace, target)
 
+    def _record_transfer_alone(self, work: float, elapsed: float) -> None:
+        """Record what a transfer shows of links without load, if no other was in progress on its link."""
+        self._lowest_pace.add(self._context.now, elapsed / work)
+        if work <= MAX_SHORT_TRANSFER_S:
+            self._shortest_delay = min(self._shortest_delay, elapsed - work)
+
     def _target(self) -> float:
         """Return the pace above which limits are cut.
 
