Waiting requests: one timer for the end of a link's pause, not one for each event

Change: the time for which a link's timer was set is kept. Whether a link is limited is decided by its limit first.

--- a/beechslip/routing/link_limits.py
+++ b/beechslip/routing/link_limits.py
@@ -66,18 +66,19 @@
         A link on which nothing ends any more is not limited: whether its backend is silent is for the overdue
         checks to find out, and they need attempts. Nor is the link of a backend that is out of service.
         """
-        if backend.is_ejected or backend.entry.state != "ready":
-            return False
         link = backend.link
+        if link.limit == math.inf or backend.is_ejected or backend.entry.state != "ready":
+            return False
         now = self._context.now
-        if link.limit < math.inf and now - max(link.slow_at, link.blocked_at) > LIMIT_LIFETIME_S:
+        if now - max(link.slow_at, link.blocked_at) > LIMIT_LIFETIME_S:
             link.limit = math.inf
+            return False
         is_silent = (
             link.in_progress >= MIN_TRANSFERS_TO_JUDGE
             and not link.has_answered_lately()
             and link.pace_in_progress(now) > SILENT_PACE_FACTOR * self.target_pace
         )
-        return link.limit < math.inf and not is_silent
+        return not is_silent
 
     def has_place(self, backend: Backend) -> bool:
         """Return whether one more transfer may begin now."""
--- a/beechslip/routing/waiting.py
+++ b/beechslip/routing/waiting.py
@@ -27,6 +27,7 @@
         self._links = links
         self._shares = shares
         self._by_backend: dict[Backend, list[OpenRequest]] = {}
+        self._resumptions: dict[Backend, float] = {}  # times for which the last timer of each was set
 
     def add(self, request: OpenRequest, backend: Backend) -> bool:
         """Let a request wait for a place on a backend's link, until it could not be sent in time any more.
@@ -57,6 +58,7 @@
         waiting.remove(request)
         if not waiting:
             del self._by_backend[backend]
+            self._resumptions.pop(backend, None)
 
     def backends(self) -> list[Backend]:
         """Return the backends for whose links requests wait."""
@@ -96,7 +98,10 @@
         """Set a timer for the end of the pause after a transfer, if requests wait for it."""
         link = backend.link
         delay = link.resumes_at - self._context.now
-        if delay > 0.0 and link.in_progress == 0 and backend in self._by_backend:
+        if delay <= 0.0 or link.in_progress or backend not in self._by_backend:
+            return
+        if self._resumptions.get(backend) != link.resumes_at:
+            self._resumptions[backend] = link.resumes_at
             self._timers.start(delay, LinkResumes())
 
     def _priority(self, request: OpenRequest) -> tuple[float, float]:
--- a/tests/routing/test_waiting.py
+++ b/tests/routing/test_waiting.py
@@ -118,3 +118,17 @@
     driver.finish_attempt(("r1", 0), "miss")
     joining = attempts(driver.finish_attempt(("r2", 0), "miss"))
     assert [attempt.source for attempt in joining] == [driver.in_flight["r1", 1].source]
+
+
+def test_one_timer_is_set_for_the_end_of_a_pause_whatever_happens_meanwhile() -> None:
+    driver = RouterDriver()
+    limit_links(driver, CACHES, limit=0.2)
+    for name in CACHES:
+        driver.router.endpoints.backends[name].link.resumes_at = driver.now + 0.3
+    driver.ask("/a", left=2.0)
+    timers = len(driver.timers)
+    for _ in range(10):
+        driver.now += 0.01
+        driver.handle_event(i.HealthCheckResult("unknown:80", "ok"))
+    assert len(driver.timers) == timers
+    assert attempts(driver.advance_time(0.3))
