Service soak: half of the runs state sizes and share links, so that requests wait

Change: runs of odd seeds state sizes, and a backend's requests in progress share its rate. Sizes are drawn from a generator of their own, so that the plans of the seeds stay as they are.

--- a/lab/service_soak.py
+++ b/lab/service_soak.py
@@ -39,6 +39,8 @@
 
 SERVING_S = 4.0
 CLIENT_COUNT = 10
+STATED_SIZES_KB = (64, 320, 1280)
+TRANSFER_RATE_KB_S = 6400.0  # the rate in SETTINGS, which the requests in progress at a backend share
 ANSWER_GRACE_S = 0.5  # a response this much after its deadline earns nothing but is no violation
 # Limits of the protocol pages, with slack:
 IN_TRANSIT_SLACK_S = 0.05  # for messages that cross on their way
@@ -103,6 +105,7 @@
     wait_s: float
     effect: str
     group: int = 0
+    size_kb: float = 0.0  # 0 if the request states none
     left_at_s: float = float("inf")
     executed_at_s: float = float("inf")  # time from which an attempt of it may have been executed
     open_attempts: set[int] = field(default_factory=set)  # numbers of the attempts in progress at backends
@@ -128,6 +131,7 @@
     findings: SoakFindings
     rng: random.Random
     behaviour = "ok"
+    in_progress = 0
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Check and respond to the requests of one connection until it ends."""
@@ -140,11 +144,13 @@
                 request = self.check_request(request_line, fields)
                 number = next(ATTEMPT_NUMBERS)
                 request.open_attempts.add(number)
+                self.in_progress += 1
                 try:
                     if not await self.respond(reader, writer, request, request_line):
                         return
                 finally:
                     request.open_attempts.discard(number)
+                    self.in_progress -= 1
         writer.close()
 
     def check_request(self, request_line: str, fields: dict[str, str]) -> ClientRequest:
@@ -192,8 +198,11 @@
         elif behaviour == "reset":
             writer.transport.abort()
         else:
+            delay_s = self.rng.uniform(0.0, 0.1)
+            if request.size_kb:
+                delay_s = request.size_kb / TRANSFER_RATE_KB_S * self.in_progress
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(reader.read(1), self.rng.uniform(0.0, 0.1))
+                await asyncio.wait_for(reader.read(1), delay_s)
                 return False  # the proxy has cancelled the attempt
             writer.write(
                 {"error": ERROR_RESPONSE, "full": DECLINED_RESPONSE, "miss": MISS_RESPONSE}.get(behaviour)
@@ -226,6 +235,9 @@
         self.enabled_faults = {
             name: self.rng.random() < 0.5 for name in ("crowd", "steps", "calls", "late", "hangs", "leaves")
         }
+        # Half of the runs state sizes, so that the proxy limits links and lets requests wait. These draws have a
+        # generator of their own, so that the plans of the seeds stay as they are.
+        self.size_rng = random.Random(f"sizes {seed}") if seed % 2 else None
         self.sequence = 1
 
     def write_config(self) -> None:
@@ -371,11 +383,15 @@
         """Send one request, and return True if the connection can be used again."""
         rng, rule = self.rng, self.rng.choice(self.settings["classes"][:2])
         name, group = f"{rng.getrandbits(64):016x}", rng.randrange(3)
-        request = ClientRequest(time.monotonic(), self.deadline_s * rng.uniform(0.5, 1.0), rule["effect"], group)
+        size_kb = self.size_rng.choice(STATED_SIZES_KB) if self.size_rng else 0
+        request = ClientRequest(
+            time.monotonic(), self.deadline_s * rng.uniform(0.5, 1.0), rule["effect"], group, float(size_kb)
+        )
         self.findings.requests[name] = request
+        size_line = f"Req-Kb: {size_kb}\r\n" if size_kb else ""
         writer.write(
             f"GET /rpc/{rule['name']}/{rng.randrange(200)} HTTP/1.1\r\nHost: x\r\nReq-Id: {name}\r\n"
-            f"Req-Wait-Ms: {int(request.wait_s * 1000)}\r\nX-Set: {group}\r\n\r\n".encode()
+            f"Req-Wait-Ms: {int(request.wait_s * 1000)}\r\nX-Set: {group}\r\n{size_line}\r\n".encode()
         )
         is_abandoned = self.enabled_faults["leaves"] and rng.random() < 0.2
         limit_s = rng.uniform(0.0, 0.3) if is_abandoned else request.wait_s + ANSWER_GRACE_S
