--- a/beechslip/routing/size_fairness.py
+++ b/beechslip/routing/size_fairness.py
@@ -13,7 +13,7 @@
 
 from beechslip.routing.state import OpenRequest, SizeBand
 
-GUARANTEED_FRACTION = 0.7  # of the class's served share, guaranteed to each band
+GUARANTEED_FRACTION = 0.75  # of the class's served share, guaranteed to each band
 LARGEST_BAND_FRACTION = 0.1  # fraction of a class's requests in its first band
 LARGEST_TWO_BANDS_FRACTION = 0.3  # fraction of a class's requests in its first two bands
 RECENT_SIZE_COUNT = 100  # recent requests of a class, among which the band of a new one is found
