--- a/tests/routing/test_link_limits.py
+++ b/tests/routing/test_link_limits.py
@@ -12,6 +12,7 @@
 from tests.helpers import CACHES, RouterDriver
 
 WORK_S = 0.2  # transfer time at the full rate
+SHORT_WORK_S = 0.04
 TARGET_PACE = 1.3
 
 
@@ -99,6 +100,19 @@
     assert [cache.link.limit < math.inf for cache in caches] == [True, False, False, False]
 
 
+# Guards against load that passes for the delay of a link which a proxy never sees free, as one of many proxies.
+def test_load_on_one_link_is_not_taken_for_its_delay() -> None:
+    driver = RouterDriver()
+    links = driver.router.links
+    links.target_pace = TARGET_PACE
+    free, loaded = (driver.router.endpoints.backends[name] for name in CACHES[:2])
+    for _ in range(5):
+        driver.router.context.now = driver.now = driver.now + 0.1
+        links.record_transfer(free, SHORT_WORK_S, SHORT_WORK_S + 0.002, is_complete=True)
+        links.record_transfer(loaded, SHORT_WORK_S, 3.0 * SHORT_WORK_S, is_complete=True)
+    assert loaded.link.limit < free.link.limit == math.inf
+
+
 @pytest.mark.parametrize(
     ("request_options", "is_limited"),
     [({"size": 800.0}, True), ({"size": 0.0}, False), ({"size": 800.0, "rule": "report"}, False)],
