--- a/lab/agent_world.py
+++ b/lab/agent_world.py
@@ -30,6 +30,7 @@
 from lab.processes import spawn_python
 from lab.relay import TcpRelay
 from lab.stand import SETTINGS, FakeBackend, FakeChangeLog, endpoint_entry, fetch, listening
+from lab.stream_server import serving
 
 READY_TIMEOUT_S = 60.0
 POLL_INTERVAL_S = 0.1
@@ -130,9 +131,7 @@
         """Start all processes and wait until all proxies are healthy. Raises RuntimeError if that takes too long."""
         self.folder.mkdir(parents=True, exist_ok=True)
         await self._stack.enter_async_context(listening(*self.backends))
-        server = await asyncio.start_server(self.log.serve, "127.0.0.1", 0)
-        self._stack.callback(server.close)
-        log_port = server.sockets[0].getsockname()[1]
+        log_port = (await self._stack.enter_async_context(serving(self.log.serve))).port
         self.store: Store = await asyncio.to_thread(open_store, self.url)
         self._stack.callback(self.store.close)
         self.orders = OrderStore(self.store.connection)
--- a/lab/service_soak.py
+++ b/lab/service_soak.py
@@ -36,6 +36,7 @@
     listening,
     read_message,
 )
+from lab.stream_server import serving
 
 SERVING_S = 4.0
 CLIENT_COUNT = 10
@@ -262,11 +263,10 @@
 
     async def run(self) -> SoakFindings:
         """Start the proxy, run the plan and stop the proxy. Return the findings."""
-        server = await asyncio.start_server(self.log.serve, "127.0.0.1", 0)
-        self.log.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         faults = self.folder / "faults.json"
         faults.write_text("{}")
-        async with listening(*self.backends):
+        async with serving(self.log.serve) as log_server, listening(*self.backends):
+            self.log.address = log_server.address
             self.write_config()
             env = os.environ | {
                 "EDGE_CONFIG": str(self.folder / "config.json"),
@@ -284,7 +284,6 @@
                 if process.returncode is None:
                     process.kill()
                 await process.wait()
-                server.close()
         log_text = (self.folder / "log").read_bytes()
         if b"Traceback" in log_text:
             traceback = log_text[log_text.index(b"Traceback") :][-300:].decode()
--- a/lab/stand.py
+++ b/lab/stand.py
@@ -21,6 +21,7 @@
 from beechslip.routing import Router
 from beechslip.routing.wire.settings import read_settings
 from lab.ports import free_port as free_port  # re-exported for the tests
+from lab.stream_server import serving
 
 SETTINGS: dict[str, Any] = {
     "balancers": 1,
@@ -182,16 +183,11 @@
 async def listening(*backends: FakeBackend) -> AsyncIterator[None]:
     """Serve each backend on its own port until the block ends."""
     log: list[str] = []
-    servers = []
-    for backend in backends:
-        server = await asyncio.start_server(backend.serve, "127.0.0.1", 0)
-        backend.address, backend.log = f"127.0.0.1:{server.sockets[0].getsockname()[1]}", log
-        servers.append(server)
-    try:
+    async with contextlib.AsyncExitStack() as servers:
+        for backend in backends:
+            server = await servers.enter_async_context(serving(backend.serve))
+            backend.address, backend.log = server.address, log
         yield
-    finally:
-        for server in servers:
-            server.close()
 
 
 class InProcessProxy:
--- a/lab/testbed.py
+++ b/lab/testbed.py
@@ -19,6 +19,7 @@
 from lab.relay import TcpRelay, UdpMesh
 from lab.scenario import Scenario
 from lab.stand import FakeBackend, FakeChangeLog, endpoint_entry, fetch, listening
+from lab.stream_server import serving
 
 CHANGE_LOG = "log"  # name of the change log among the relays of a proxy
 READY_TIMEOUT_S = 30.0  # within this time of its start a proxy must be healthy
@@ -115,9 +116,8 @@
         await self._stack.aclose()
 
     async def _start_relays(self, number: int) -> None:
-        log_server = await asyncio.start_server(self.logs[number].serve, "127.0.0.1", 0)
-        self._stack.callback(log_server.close)
-        targets = {CHANGE_LOG: log_server.sockets[0].getsockname()[1]}
+        log_server = await self._stack.enter_async_context(serving(self.logs[number].serve))
+        targets = {CHANGE_LOG: log_server.port}
         targets |= {backend.name: int(backend.address.split(":")[1]) for backend in self.backends}
         for name, port in targets.items():
             relay = self.relays[number, name] = TcpRelay(port)
--- a/tests/test_agent_health.py
+++ b/tests/test_agent_health.py
@@ -20,6 +20,7 @@
 from beechslip.config import Address
 from beechslip.store import Instance, Store, open_store
 from lab.stand import FakeBackend, HttpResponse, fetch, free_port, read_message, run, until
+from lab.stream_server import serving
 from tests.test_agent import SimulatedProcess
 from tests.test_program import ProxyProcess, proxy_process
 
@@ -161,12 +162,11 @@
             writer.write(response)
         writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    try:
-        yield Address("127.0.0.1", server.sockets[0].getsockname()[1])
-    finally:
-        done.set()
-        server.close()
+    async with serving(serve) as server:
+        try:
+            yield Address("127.0.0.1", server.port)
+        finally:
+            done.set()
 
 
 def process_at(address: Address) -> SimulatedProcess:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -35,6 +35,7 @@
     run,
     until,
 )
+from lab.stream_server import serving
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -108,16 +109,14 @@
 async def proxy_process(folder: Path, backend_type: type[FakeBackend] = FakeBackend) -> AsyncIterator[ProxyProcess]:
     """Run the backends and the change log of a ``ProxyProcess``, which the caller starts; kill it at the end."""
     proxy = ProxyProcess(folder, backend_type)
-    server = await asyncio.start_server(proxy.change_log.serve, "127.0.0.1", 0)
-    proxy.change_log.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    async with listening(*proxy.backends):
+    async with serving(proxy.change_log.serve) as log_server, listening(*proxy.backends):
+        proxy.change_log.address = log_server.address
         try:
             yield proxy
         finally:
             if proxy.process is not None and proxy.process.returncode is None:
                 proxy.process.kill()
                 await proxy.process.communicate()  # reads the pipes: a full one would hide the end of the process
-            server.close()
 
 
 @run
@@ -211,7 +210,8 @@
 
 @run
 async def test_sighup_switches_to_the_new_change_log_and_ignores_an_invalid_file(tmp_path: Path) -> None:
-    async with proxy_process(tmp_path) as proxy:
+    new_log = FakeChangeLog()
+    async with proxy_process(tmp_path) as proxy, serving(new_log.serve) as new_log_server:
         process = await proxy.start(EDGE_CONFIG=str(proxy.write_config()))
         await proxy.wait_until_ready()
 
@@ -219,9 +219,7 @@
             while text not in await process.stderr.readline():  # type: ignore[union-attr]
                 assert process.returncode is None
 
-        new_log, old_log = FakeChangeLog(), proxy.change_log
-        server = await asyncio.start_server(new_log.serve, "127.0.0.1", 0)
-        new_log.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        old_log, new_log.address = proxy.change_log, new_log_server.address
         (tmp_path / "config.json").write_text("{")
         process.send_signal(signal.SIGHUP)
         await wait_for_log(b"new configuration rejected")
@@ -236,7 +234,6 @@
         assert (old_log.resumed_from, new_log.resumed_from) == (["1"], ["2"])
         code, stderr_text = await proxy.terminate()
         assert code == 0 and "reloads=1" in stderr_text
-        server.close()
 
 
 @run
--- a/tests/test_served_by_size.py
+++ b/tests/test_served_by_size.py
@@ -18,6 +18,7 @@
 from lab.link_backends import LinkBackend
 from lab.processes import spawn_python
 from lab.stand import SETTINGS, FakeChangeLog, endpoint_entry, fetch, free_port, listening
+from lab.stream_server import serving
 
 PROXY_COUNT = 3
 OBJECT_COUNT = 400
@@ -78,11 +79,9 @@
     @contextlib.asynccontextmanager
     async def proxies(self) -> AsyncIterator[None]:
         log = FakeChangeLog()
-        server = await asyncio.start_server(log.serve, "127.0.0.1", 0)
-        log.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         links = [asyncio.create_task(backend.link.run()) for backend in self.backends]
-        async with listening(*self.backends):
-            processes = [await self._start(number, log.address) for number in range(PROXY_COUNT)]
+        async with serving(log.serve) as log_server, listening(*self.backends):
+            processes = [await self._start(number, log_server.address) for number in range(PROXY_COUNT)]
             try:
                 await asyncio.gather(*(self._ready(port) for port in self.ports))
                 yield
@@ -92,7 +91,6 @@
                     await process.wait()
                 for link in links:
                     link.cancel()
-                server.close()
 
     async def _start(self, number: int, log_address: str) -> asyncio.subprocess.Process:
         settings: dict[str, Any] = copy.deepcopy(SETTINGS)
