Link limits: short transfers have places of their own, and fills wait (1e1777)

Cause: a limit counts transfers. Of three proxies each has about one place on a link of three, and one transfer of 0.5 to 1.5 s holds it; short requests with little time wait behind it until they are refused.

Change: `PlacePool` counts places and pauses. A link has a second pool, 0.3 of its limit, for transfers below 0.055 of the mean that is found on a link at a random moment (`TransferSizes`); a short one beyond it takes a place for all. While a source is limited, its limit decides on fills, not the throttle.

--- a/beechslip/routing/dispatch.py
+++ b/beechslip/routing/dispatch.py
@@ -160,24 +160,26 @@
         """Send a read to a cache, with a fill if it may have one, or let it wait for a place on a link.
 
         While the source's link is limited, a lookup is sent first, so that only known misses take its places.
+        The link limit then decides on fills, in place of the fill throttle: a fill waits for a place.
         """
         is_missing = request.missing_at is cache
-        if not is_missing and not self._links.has_place(cache):
+        is_short = self._links.is_short(request)
+        if not is_missing and not self._links.has_place(cache, is_short):
             self._wait_or_end(request, cache)
             return
-        if source is not None and not self._admission.may_fill(request, source):
-            request.refused_source = source
-            request.has_made_last_attempt = True
-            source = None
-        elif source is not None and self._links.is_limited(source):
+        if source is not None and self._links.is_limited(source):
             if not is_missing and self._retries.may_look_up(request):
                 self._send_attempt(request, cache, None, is_lookup=True)
                 return
             is_joining = FillKey(cache.name, request.copy_key) in source.link.fills
-            if not is_joining and not self._links.has_place(source):
+            if not is_joining and not self._links.has_place(source, is_short):
                 request.refused_source = source
                 self._wait_or_end(request, source)
                 return
+        elif source is not None and not self._admission.may_fill(request, source):
+            request.refused_source = source
+            request.has_made_last_attempt = True
+            source = None
         self._send_attempt(request, cache, source)
         if source is not None:
             for joining in self._waiting.take_joining(source, request):
@@ -244,7 +246,8 @@
         """
         now = self._context.now
         attempt.is_size_known = self._estimates.is_size_known(request)
-        attempt.cache.link.begin(now, attempt.transfer_time)
+        is_short = self._links.is_short(request)
+        attempt.cache_pool = attempt.cache.link.begin(now, attempt.transfer_time, is_short)
         source = attempt.source
         if source is None:
             return
@@ -257,7 +260,7 @@
             attempt.is_joining = attempt.fill_key in source.link.fills
             source.link.add_fill(attempt.fill_key)
         if not attempt.is_joining:
-            source.link.begin(now, attempt.transfer_time)
+            attempt.source_pool = source.link.begin(now, attempt.transfer_time, is_short)
 
     def _max_copy_age(self, request: OpenRequest, is_fresh_only: bool) -> float:
         """Return the age limit of a copy in seconds (0: none): the fresh time, and the grace time beyond."""
--- a/beechslip/routing/link.py
+++ b/beechslip/routing/link.py
@@ -6,6 +6,9 @@
 from typing import NamedTuple
 
 from beechslip.routing.link_pace import MIN_DELAY_S, LinkPace
+from beechslip.routing.place_pool import PlacePool
+
+SHORT_PLACES_FRACTION = 0.3  # places for short transfers alone, beside the limit and as a fraction of it
 
 
 class FillKey(NamedTuple):
@@ -25,36 +28,55 @@
         "answered_at",
         "blocked_at",
         "fills",
-        "in_progress",
-        "limit",
         "pace",
-        "resumes_at",
+        "places",
+        "short_places",
         "slow_at",
     )
 
     def __init__(self) -> None:
         """Start with an idle link and no limit."""
-        self.in_progress = 0
-        self.limit = math.inf  # transfers
+        self.places = PlacePool()  # for transfers of any size
+        self.short_places = PlacePool()  # for short transfers alone, which would wait long behind others
         self.fills: dict[FillKey, int] = {}  # attempts by the fill that they wait for
         self.answered_at = -math.inf  # when a transfer last completed
         self.slow_at = -math.inf  # when transfers were last slower than the target
         self.blocked_at = -math.inf  # when a request last found no place
         self.adjusted_at = 0.0
-        self.resumes_at = 0.0  # end of the pause after a transfer, while the limit is below one transfer
         self._sent_at_sum = 0.0  # of the transfers in progress
         self._work_sum = 0.0
         self.pace = LinkPace()
 
-    def begin(self, now: float, work: float) -> None:
-        """Count a transfer of ``work`` seconds at full speed that begins."""
-        self.in_progress += 1
+    @property
+    def in_progress(self) -> int:
+        """The number of transfers in progress."""
+        return self.places.in_progress + self.short_places.in_progress
+
+    @property
+    def limit(self) -> float:
+        """The places for transfers of any size; infinite if the link is not limited."""
+        return self.places.places
+
+    @limit.setter
+    def limit(self, limit: float) -> None:
+        self.places.places = limit
+        self.short_places.places = SHORT_PLACES_FRACTION * limit
+
+    def has_place(self, now: float, is_short: bool) -> bool:
+        """Return whether the limit permits one more transfer now."""
+        return self.places.has_place(now) or (is_short and self.short_places.has_place(now))
+
+    def begin(self, now: float, work: float, is_short: bool) -> PlacePool:
+        """Count a transfer of ``work`` seconds at full speed that begins; return the pool of its place."""
+        pool = self.short_places if is_short and self.short_places.has_place(now) else self.places
+        pool.in_progress += 1
         self._sent_at_sum += now
         self._work_sum += work + MIN_DELAY_S
+        return pool
 
-    def end(self, sent_at: float, work: float) -> None:
-        """Count a transfer that has ended."""
-        self.in_progress -= 1
+    def end(self, pool: PlacePool, sent_at: float, work: float) -> None:
+        """Count a transfer that has ended, and free its place."""
+        pool.in_progress -= 1
         self._sent_at_sum -= sent_at
         self._work_sum -= work + MIN_DELAY_S
         if not self.in_progress:
@@ -77,8 +99,3 @@
     def has_answered_lately(self) -> bool:
         """Return whether a transfer has completed since those in progress began, in the mean."""
         return self.answered_at * self.in_progress > self._sent_at_sum
-
-    def pause_after(self, now: float, target_time: float) -> None:
-        """Begin the pause after a transfer of ``target_time`` s at the target, if the limit is below 1."""
-        if self.limit < 1.0:
-            self.resumes_at = now + target_time * (1.0 / self.limit - 1.0)
--- a/beechslip/routing/link_limits.py
+++ b/beechslip/routing/link_limits.py
@@ -13,8 +13,10 @@
 
 from beechslip.routing.context import RoutingContext
 from beechslip.routing.link import Link
+from beechslip.routing.place_pool import PlacePool
 from beechslip.routing.state import Backend, OpenRequest, SizeBand
 from beechslip.routing.tallies import DECAY_TIME_S, DecayingSum, WindowedMinimum
+from beechslip.routing.transfer_sizes import TransferSizes
 
 # Paces are multiples of the transfer time at full speed.
 TARGET_SLACK_FRACTION = 0.15  # of the slack that the largest requests have, which the target pace may use up
@@ -38,6 +40,7 @@
     def __init__(self, context: RoutingContext) -> None:
         """Start without limits."""
         self._context = context
+        self._sizes = TransferSizes()
         # Up to which the largest requests of all classes complete in time, with some slack left.
         self.target_pace = math.inf
         self._lowest_pace = WindowedMinimum(LOWEST_PACE_WINDOW_S)  # of transfers that were alone, on any link
@@ -46,10 +49,14 @@
         self._largest: dict[str, tuple[DecayingSum, DecayingSum]] = {}
 
     def record_arrival(self, request: OpenRequest) -> None:
-        """Record the time that a request of the largest band has, and its transfer time."""
-        if request.band is not SizeBand.LARGEST or request.rule.write or request.transfer_time <= 0.0:
+        """Record the transfer time of a request, and the time that it has if it is of the largest band."""
+        if request.rule.write or request.transfer_time <= 0.0:
             return
         now = self._context.now
+        if request.event.size_kb > 0.0:
+            self._sizes.record(now, request.transfer_time)
+        if request.band is not SizeBand.LARGEST:
+            return
         time_left, work = self._largest.setdefault(
             request.rule.name, (DecayingSum(2.0 * DECAY_TIME_S), DecayingSum(2.0 * DECAY_TIME_S))
         )
@@ -60,6 +67,10 @@
         )
         self.target_pace = 1.0 + TARGET_SLACK_FRACTION * max(bearable - 1.0, 0.0)
 
+    def is_short(self, request: OpenRequest) -> bool:
+        """Return whether the transfer for a request may use the places for short ones."""
+        return self._sizes.is_short(request.transfer_time)
+
     def is_limited(self, backend: Backend) -> bool:
         """Return whether a limit applies to a backend's link.
 
@@ -80,17 +91,13 @@
         )
         return not is_silent
 
-    def has_place(self, backend: Backend) -> bool:
-        """Return whether one more transfer may begin now."""
+    def has_place(self, backend: Backend, is_short: bool) -> bool:
+        """Return whether one more transfer may begin now, a short one or another."""
         if not self.is_limited(backend):
             return True
-        link = backend.link
-        if link.limit < 1.0:
-            has_place = link.in_progress == 0 and self._context.now >= link.resumes_at
-        else:
-            has_place = link.in_progress + 1.0 <= link.limit
+        has_place = backend.link.has_place(self._context.now, is_short)
         if not has_place:
-            link.blocked_at = self._context.now
+            backend.link.blocked_at = self._context.now
         return has_place
 
     def expected_pace(self, backend: Backend) -> float:
@@ -99,11 +106,14 @@
             return 1.0
         return min(max(backend.link.pace.recent(self._context.now), 1.0), MAX_EXPECTED_PACE)
 
-    def record_transfer(self, backend: Backend, work: float, elapsed: float, is_complete: bool) -> None:
+    def record_transfer(
+        self, backend: Backend, pool: PlacePool | None, work: float, elapsed: float, is_complete: bool
+    ) -> None:
         """Adjust a backend's limit to a transfer that has ended.
 
         Args:
             backend: the backend whose link carried it.
+            pool: the pool of its place on that link; a pause may follow it.
             work: the transfer time at full speed, s.
             elapsed: its duration, s.
             is_complete: False if it ran out of time; it then counts only if others have ended meanwhile.
@@ -120,7 +130,8 @@
         pace, target = link.pace.recent(now), self._target()
         if link.limit < math.inf:
             self._adjust_limit(link, pace, target)
-            link.pause_after(now, work * target)
+            if pool is not None:
+                pool.pause_after(now, work * target)
         elif pace > target:
             self._set_first_limit(link, pace, target)
 
--- a/beechslip/routing/outcomes.py
+++ b/beechslip/routing/outcomes.py
@@ -74,12 +74,14 @@
 
     def _end_transfers(self, attempt: AttemptInFlight) -> None:
         """Count the transfers of an attempt on the links of its cache and its source as ended."""
-        attempt.cache.link.end(attempt.sent_at, attempt.transfer_time)
+        work = attempt.transfer_time
+        if attempt.cache_pool is not None:
+            attempt.cache.link.end(attempt.cache_pool, attempt.sent_at, work)
         source = attempt.source
         if source is None:
             return
-        if not attempt.is_joining:
-            source.link.end(attempt.sent_at, attempt.transfer_time)
+        if attempt.source_pool is not None:
+            source.link.end(attempt.source_pool, attempt.sent_at, work)
         if attempt.fill_key is not None:
             source.link.remove_fill(attempt.fill_key)
 
@@ -90,10 +92,11 @@
         """
         if not attempt.is_size_known or attempt.is_joining or outcome.result not in ("ok", "timeout"):
             return
-        is_fill = attempt.source is not None and outcome.note not in HIT_NOTES
-        backend = attempt.source if is_fill and attempt.source is not None else attempt.cache
+        backend, pool = attempt.cache, attempt.cache_pool
+        if attempt.source is not None and outcome.note not in HIT_NOTES:
+            backend, pool = attempt.source, attempt.source_pool
         is_complete = outcome.result == "ok"
-        self._links.record_transfer(backend, attempt.transfer_time, outcome.elapsed, is_complete)
+        self._links.record_transfer(backend, pool, attempt.transfer_time, outcome.elapsed, is_complete)
 
     def avoid_failed_backend(
         self, request: OpenRequest, attempt: AttemptInFlight, outcome: i.Outcome
--- a/beechslip/routing/selection.py
+++ b/beechslip/routing/selection.py
@@ -91,7 +91,7 @@
             first_usable = first_usable or backend
             considered += 1
             # The next cache takes over from a full one: one hot object can exceed the capacity of a link.
-            has_room = self._has_room(backend, first_usable)
+            has_room = self._has_room(backend, first_usable, request)
             if has_room and self._admission.utilization([backend]) < 1.0:
                 return self._cache_if_admitted(request, backend)
             if considered >= MAX_CACHES_CONSIDERED:
@@ -115,7 +115,7 @@
             # The fills of an object can exceed one parent's link. Those that exceed the limits of all parents
             # must not overload the origin.
             is_below_limit = backend.in_flight < backend.concurrency_limit
-            has_room = self._has_room(backend, first_usable)
+            has_room = self._has_room(backend, first_usable, request)
             if has_room and is_below_limit and (backend is not origin or backend is first_usable):
                 return backend
         if first_usable is not None:
@@ -123,15 +123,15 @@
         ready = (b for b in self._ranked_sources(request, ready_origin) if b.entry.state == "ready")
         return next((b for b in ready if self._slow_start.allows_attempt(b, request)), None)
 
-    def _has_room(self, backend: Backend, home: Backend) -> bool:
-        """Return whether a backend has a place on its link.
+    def _has_room(self, backend: Backend, home: Backend, request: OpenRequest) -> bool:
+        """Return whether a backend has a place for a request on its link.
 
         One that is not the first choice must also be far less limited: when all links are full, requests
         would otherwise be scattered over caches without their copies.
         """
         if backend is not home and backend.link.limit < LIMIT_RATIO_TO_LEAVE_HOME * home.link.limit:
             return False
-        return self._links.has_place(backend)
+        return self._links.has_place(backend, self._links.is_short(request))
 
     def _choose_fallback_cache(self, request: OpenRequest) -> Backend | None:
         """Choose a cache although none is usable.
--- a/beechslip/routing/state.py
+++ b/beechslip/routing/state.py
@@ -9,6 +9,7 @@
 
 from beechslip.routing import interface as i
 from beechslip.routing.link import FillKey, Link
+from beechslip.routing.place_pool import PlacePool
 from beechslip.routing.placement import stable_hash
 from beechslip.routing.tallies import DecayingSum, LatenessStats
 
@@ -70,6 +71,7 @@
 
     __slots__ = (
         "cache",
+        "cache_pool",
         "fill_key",
         "is_cancelling",
         "is_counted_late",
@@ -82,6 +84,7 @@
         "retries_lost_answer",
         "sent_at",
         "source",
+        "source_pool",
         "transfer_time",
         "trial_backend",
     )
@@ -99,6 +102,8 @@
         self.cache = cache
         self.source = source
         self.transfer_time = transfer_time
+        self.cache_pool: PlacePool | None = None  # of its place on the link of its cache
+        self.source_pool: PlacePool | None = None  # of its place on the link of its source, if it takes one
         self.is_streaming = False
         self.is_cancelling = False
         self.retries_lost_answer = False  # repeats an attempt whose answer is presumed lost
--- a/beechslip/routing/waiting.py
+++ b/beechslip/routing/waiting.py
@@ -75,7 +75,11 @@
         A backend that is not listed any more keeps none: they are sent elsewhere.
         """
         waiting = self._by_backend.get(backend)
-        if not waiting or (is_listed and not self._links.has_place(backend)):
+        if waiting and is_listed and not self._links.has_place(backend, is_short=False):
+            if not self._links.has_place(backend, is_short=True):
+                return None
+            waiting = [other for other in waiting if self._links.is_short(other)]
+        if not waiting:
             return None
         request = max(waiting, key=self._priority)
         self.remove(request)
@@ -95,14 +99,15 @@
         return joining
 
     def schedule_resumption(self, backend: Backend) -> None:
-        """Set a timer for the end of the pause after a transfer, if requests wait for it."""
-        link = backend.link
-        delay = link.resumes_at - self._context.now
-        if delay <= 0.0 or link.in_progress or backend not in self._by_backend:
+        """Set a timer for the next end of a pause after a transfer, if requests wait for it."""
+        if backend not in self._by_backend:
             return
-        if self._resumptions.get(backend) != link.resumes_at:
-            self._resumptions[backend] = link.resumes_at
-            self._timers.start(delay, LinkResumes())
+        now = self._context.now
+        pools = (backend.link.places, backend.link.short_places)
+        ends = [pool.resumes_at for pool in pools if not pool.in_progress and pool.resumes_at > now]
+        if ends and self._resumptions.get(backend) != min(ends):
+            self._resumptions[backend] = min(ends)
+            self._timers.start(min(ends) - now, LinkResumes())
 
     def _priority(self, request: OpenRequest) -> tuple[float, float]:
         """Return the rank of a request: first by what its band is owed, then the shortest transfer."""
--- a/tests/routing/test_link_limits.py
+++ b/tests/routing/test_link_limits.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from beechslip.routing.link import SHORT_PLACES_FRACTION
 from beechslip.routing.link_limits import MIN_LIMIT
 from beechslip.routing.state import Backend
 from tests.helpers import CACHES, RouterDriver
@@ -21,7 +22,7 @@
     cache = driver.router.endpoints.backends[CACHES[0]]
     driver.router.links.target_pace = TARGET_PACE
     for _ in range(in_progress):
-        cache.link.begin(driver.now, WORK_S)
+        cache.link.begin(driver.now, WORK_S, is_short=False)
     end_transfers(driver, cache, 4, 3.0)
     return cache
 
@@ -31,13 +32,13 @@
     for _ in range(count):
         driver.advance_time(seconds)
         driver.router.context.now = driver.now
-        driver.router.links.record_transfer(cache, WORK_S, WORK_S * pace, is_complete=True)
+        driver.router.links.record_transfer(cache, cache.link.places, WORK_S, WORK_S * pace, is_complete=True)
 
 
 def test_slow_transfers_limit_a_link_below_those_in_progress() -> None:
     driver = RouterDriver()
     cache = overloaded(driver)
-    assert 1.0 <= cache.link.limit < 6.0 and not driver.router.links.has_place(cache)
+    assert 1.0 <= cache.link.limit < 6.0 and not driver.router.links.has_place(cache, is_short=False)
 
 
 def test_limit_is_cut_while_transfers_are_slow_and_grows_while_they_are_not() -> None:
@@ -54,29 +55,57 @@
     driver = RouterDriver()
     cache = overloaded(driver)
     driver.router.context.now = driver.now = driver.now + 5.0
-    assert driver.router.links.has_place(cache) and cache.link.limit == math.inf
+    assert driver.router.links.has_place(cache, is_short=False) and cache.link.limit == math.inf
 
 
 def test_below_one_transfer_a_pause_follows_each() -> None:
     driver = RouterDriver()
     cache = overloaded(driver, in_progress=1)
     end_transfers(driver, cache, 40, 3.0)
-    cache.link.end(driver.now, WORK_S)
-    pause = cache.link.resumes_at - driver.now
-    assert not driver.router.links.has_place(cache)
+    cache.link.end(cache.link.places, driver.now, WORK_S)
+    pause = cache.link.places.resumes_at - driver.now
+    assert not driver.router.links.has_place(cache, is_short=False)
     assert pause == pytest.approx(WORK_S * TARGET_PACE * (1.0 / cache.link.limit - 1.0))
     driver.router.context.now = driver.now + pause
-    assert driver.router.links.has_place(cache)
+    assert driver.router.links.has_place(cache, is_short=False)
+
+
+# Guards against short requests that wait behind long ones until they are refused (1e1777).
+def test_short_transfer_has_a_place_beside_long_ones_that_fill_the_link() -> None:
+    driver = RouterDriver()
+    links = driver.router.links
+    cache = overloaded(driver)
+    assert not links.has_place(cache, is_short=False) and links.has_place(cache, is_short=True)
+    pool = cache.link.begin(driver.now, SHORT_WORK_S, is_short=True)
+    assert pool is cache.link.short_places and not links.has_place(cache, is_short=True)
+
+
+def test_short_transfers_have_on_average_only_their_part_of_the_limit() -> None:
+    driver = RouterDriver()
+    cache = overloaded(driver, in_progress=2)
+    cache.link.limit = 1.0
+    pool = cache.link.begin(driver.now, SHORT_WORK_S, is_short=True)
+    cache.link.end(pool, driver.now, SHORT_WORK_S)
+    pool.pause_after(driver.now, SHORT_WORK_S)
+    assert pool.resumes_at - driver.now == pytest.approx(SHORT_WORK_S * (1.0 / SHORT_PLACES_FRACTION - 1.0))
+    assert not driver.router.links.has_place(cache, is_short=True)
+
+
+def test_short_transfer_beyond_the_places_for_short_ones_takes_one_for_all() -> None:
+    link = RouterDriver().router.endpoints.backends[CACHES[0]].link
+    link.limit = 1.0
+    pools = [link.begin(0.0, SHORT_WORK_S, is_short=True) for _ in range(2)]
+    assert pools == [link.short_places, link.places] and not link.has_place(0.0, is_short=False)
 
 
 def test_link_of_a_silent_backend_is_not_limited_so_that_overdue_checks_find_it() -> None:
     driver = RouterDriver()
     cache = overloaded(driver)
     for _ in range(6):
-        cache.link.end(driver.now - 0.4, WORK_S)
-        cache.link.begin(driver.now + 0.01, WORK_S)
+        cache.link.end(cache.link.places, driver.now - 0.4, WORK_S)
+        cache.link.begin(driver.now + 0.01, WORK_S, is_short=False)
     driver.router.context.now = driver.now = driver.now + 2.0  # no transfer has ended since
-    assert driver.router.links.has_place(cache)
+    assert driver.router.links.has_place(cache, is_short=False)
 
 
 # Guards against limits that take backends which are slower than stated for overloaded ones.
@@ -108,8 +137,8 @@
     free, loaded = (driver.router.endpoints.backends[name] for name in CACHES[:2])
     for _ in range(5):
         driver.router.context.now = driver.now = driver.now + 0.1
-        links.record_transfer(free, SHORT_WORK_S, SHORT_WORK_S + 0.002, is_complete=True)
-        links.record_transfer(loaded, SHORT_WORK_S, 3.0 * SHORT_WORK_S, is_complete=True)
+        links.record_transfer(free, free.link.places, SHORT_WORK_S, SHORT_WORK_S + 0.002, is_complete=True)
+        links.record_transfer(loaded, loaded.link.places, SHORT_WORK_S, 3.0 * SHORT_WORK_S, is_complete=True)
     assert loaded.link.limit < free.link.limit == math.inf
 
 
--- a/tests/routing/test_waiting.py
+++ b/tests/routing/test_waiting.py
@@ -24,14 +24,15 @@
     driver = RouterDriver()
     limit_links(driver, CACHES)
     for name in CACHES:
-        driver.router.endpoints.backends[name].link.begin(driver.now, 0.1)
+        driver.router.endpoints.backends[name].link.begin(driver.now, 0.1, is_short=False)
     return driver
 
 
 def free_place(driver: RouterDriver) -> list[i.Action]:
     """End the transfers in progress on the caches' links, and return what the router does then."""
     for name in CACHES:
-        driver.router.endpoints.backends[name].link.end(driver.now, 0.1)
+        link = driver.router.endpoints.backends[name].link
+        link.end(link.places, driver.now, 0.1)
     return driver.handle_event(i.HealthCheckResult("unknown:80", "ok"))
 
 
@@ -99,6 +100,30 @@
     assert [request and request.request_id for request in order] == ["largest", "short", "long", None]
 
 
+# Guards against short requests that wait behind long ones until they are refused (1e1777).
+def test_short_request_does_not_wait_for_long_transfers() -> None:
+    driver = driver_with_full_caches()
+    for n in range(10):
+        assert not attempts(driver.ask("/a", left=6.0, size=3200.0, name=f"long{n}"))
+    assert [attempt.request for attempt in attempts(driver.ask("/a", left=6.0, size=32.0, name="short"))] == ["short"]
+
+
+def test_waiting_short_request_gets_a_place_for_short_ones_before_a_long_one_that_is_owed() -> None:
+    driver = driver_with_full_caches()
+    waiting = driver.router.waiting
+    cache = driver.router.endpoints.backends[CACHES[0]]
+    for name, size in (("largest", 4000.0), ("short", 40.0)):
+        driver.ask("/a", name=name, size=size, left=6.0)
+    largest, short = (driver.router.requests.open[name] for name in ("largest", "short"))
+    for request in (largest, short):
+        waiting.remove(request)
+        waiting.add(request, cache)
+    cache.link.short_places.in_progress = 0
+    largest.band = SizeBand.LARGEST
+    driver.router.admission.shares.record_arrival(largest)
+    assert waiting.take_next(cache, True) is short and waiting.take_next(cache, True) is None
+
+
 def test_limited_source_is_asked_only_after_a_lookup_has_missed() -> None:
     driver = RouterDriver()
     limit_links(driver, (*PARENTS, ORIGIN))
@@ -124,7 +149,7 @@
     driver = RouterDriver()
     limit_links(driver, CACHES, limit=0.2)
     for name in CACHES:
-        driver.router.endpoints.backends[name].link.resumes_at = driver.now + 0.3
+        driver.router.endpoints.backends[name].link.places.resumes_at = driver.now + 0.3
     driver.ask("/a", left=2.0)
     timers = len(driver.timers)
     for _ in range(10):
@@ -132,3 +157,16 @@
         driver.handle_event(i.HealthCheckResult("unknown:80", "ok"))
     assert len(driver.timers) == timers
     assert attempts(driver.advance_time(0.3))
+
+
+# Guards against fills that are refused after some milliseconds with nearly all of their time left (1e1777).
+def test_fill_from_a_limited_source_waits_although_the_fill_throttle_would_refuse_it() -> None:
+    driver = RouterDriver()
+    limit_links(driver, (*PARENTS, ORIGIN), limit=0.1)
+    for name in (*PARENTS, ORIGIN):
+        backend = driver.router.endpoints.backends[name]
+        driver.router.limits.fill_throttle(backend).fraction = 0.0
+        backend.link.places.resumes_at = driver.now + 0.2
+    driver.ask("/a", left=2.0)
+    assert not final_actions(driver.finish_attempt(("r1", 0), "miss"))
+    assert [attempt.source in PARENTS for attempt in attempts(driver.advance_time(0.3))] == [True]
