Waiting requests: the bound of short transfers is kept, not computed for each waiter

What callers saw: nothing; the router's time a request rose with the pool for short transfers.

Cause: each event at a full link compared every waiting request with the decayed sums of the sizes.

Change: `TransferSizes` keeps the bound; the link of a backend without a place is not asked twice.

--- a/beechslip/routing/link_limits.py
+++ b/beechslip/routing/link_limits.py
@@ -40,7 +40,7 @@
     def __init__(self, context: RoutingContext) -> None:
         """Start without limits."""
         self._context = context
-        self._sizes = TransferSizes()
+        self.sizes = TransferSizes()
         # Up to which the largest requests of all classes complete in time, with some slack left.
         self.target_pace = math.inf
         self._lowest_pace = WindowedMinimum(LOWEST_PACE_WINDOW_S)  # of transfers that were alone, on any link
@@ -54,7 +54,7 @@
             return
         now = self._context.now
         if request.event.size_kb > 0.0:
-            self._sizes.record(now, request.transfer_time)
+            self.sizes.record(now, request.transfer_time)
         if request.band is not SizeBand.LARGEST:
             return
         time_left, work = self._largest.setdefault(
@@ -69,7 +69,7 @@
 
     def is_short(self, request: OpenRequest) -> bool:
         """Return whether the transfer for a request may use the places for short ones."""
-        return self._sizes.is_short(request.transfer_time)
+        return self.sizes.is_short(request.transfer_time)
 
     def is_limited(self, backend: Backend) -> bool:
         """Return whether a limit applies to a backend's link.
--- a/beechslip/routing/transfer_sizes.py
+++ b/beechslip/routing/transfer_sizes.py
@@ -13,13 +13,14 @@
 
     def __init__(self) -> None:
         """Start without any read."""
+        self.max_short = 0.0  # transfer time below which a transfer is short
         self._work = DecayingSum(SIZE_SPAN_S)
         self._squared_work = DecayingSum(SIZE_SPAN_S)
 
     def record(self, now: float, work: float) -> None:
         """Include a read with a transfer time of ``work`` at full speed."""
-        self._work.add(now, work)
-        self._squared_work.add(now, work * work)
+        total = self._work.add(now, work)
+        self.max_short = MAX_SHORT_FRACTION * self._squared_work.add(now, work * work) / total
 
     def is_short(self, work: float) -> bool:
         """Return whether a transfer delays others little, while it would wait long for them.
@@ -27,4 +28,4 @@
         It is compared with the mean transfer that is found on a link at a random moment, to which each one
         contributes in proportion to its duration.
         """
-        return work * self._work.total < MAX_SHORT_FRACTION * self._squared_work.total
+        return work < self.max_short
--- a/beechslip/routing/waiting.py
+++ b/beechslip/routing/waiting.py
@@ -76,9 +76,10 @@
         """
         waiting = self._by_backend.get(backend)
         if waiting and is_listed and not self._links.has_place(backend, is_short=False):
-            if not self._links.has_place(backend, is_short=True):
+            if not backend.link.short_places.has_place(self._context.now):
                 return None
-            waiting = [other for other in waiting if self._links.is_short(other)]
+            max_short = self._links.sizes.max_short
+            waiting = [other for other in waiting if other.transfer_time < max_short]
         if not waiting:
             return None
         request = max(waiting, key=self._priority)
