--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import tempfile
 import time
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
@@ -145,6 +146,32 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def hostile(
+    plays: Annotated[list[str] | None, typer.Argument(help="Kinds of hostile clients; all by default.")] = None,
+    memory: Annotated[int, typer.Option(min=1, help="The proxy's memory limit in MB.")] = 192,
+    connections: Annotated[int, typer.Option(min=1, max=900)] = 500,
+    seconds: Annotated[float, typer.Option(min=0.5, max=600.0)] = 7.0,
+    seed: Annotated[int, typer.Option(min=0)] = 1,
+) -> None:
+    """Play hostile clients against one real proxy, and print its memory and what sound clients got."""
+    from lab import hostile_clients, hostile_play
+
+    for play in plays or [*hostile_clients.KINDS, hostile_clients.MIXED]:
+        with tempfile.TemporaryDirectory() as folder:
+            found = hostile_play.run_play(Path(folder), play, memory, connections, seconds, seed)
+        console.print(
+            f"{play}: memory idle {found.idle_mb:.0f}, peak {found.peak_mb:.0f}, "
+            f"settled {found.settled_mb:.0f} MB of {memory}; alive {found.is_alive}; "
+            f"answered {len(found.latencies_s)}, unanswered {found.unanswered}, "
+            f"median {found.latency_s(0.5):.3f} s, 99th percentile {found.latency_s(0.99):.3f} s, "
+            f"statuses {found.statuses}",
+            markup=False,
+            soft_wrap=True,
+            highlight=False,
+        )
+
+
 @app.command()
 def search(
     units: int = 2,
