--- a/beechslip/config.py
+++ b/beechslip/config.py
@@ -18,6 +18,7 @@
 from beechslip.routing.wire.settings import read_settings
 
 DEFAULT_MAX_SOCKETS = 1024
+DEFAULT_MEMORY_MB = 192.0
 LOG_LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
 MAX_PORT = 65535
 MAX_FD_DIGITS = 7
@@ -89,6 +90,7 @@
     changelog_address: Address | None = None
     known_events: Mapping[str, Any] = field(default_factory=dict)  # change log events up to the writing of the file
     max_sockets: int = DEFAULT_MAX_SOCKETS  # limit on open connections of clients and to backends together
+    memory_mb: float = DEFAULT_MEMORY_MB  # limit on the resident memory of the process
     ops_address: Address | None = None  # where operators' requests are served
     listening_fd: int | None = None  # descriptor of the listening socket, if the platform has opened it
     dns: DnsConfig | None = None
@@ -157,6 +159,7 @@
         known_events=known if isinstance(known, dict) else {},
         ops_address=_parse_optional_address(env.get("EDGE_OPS") or contents.get("ops")),
         max_sockets=_read_max_sockets(contents.get("limits")),
+        memory_mb=_read_memory_mb(contents.get("limits")),
         dns=dns,
         file_contents={name: None if name == "known" else value for name, value in contents.items()},
     )
@@ -188,6 +191,13 @@
     return sockets if isinstance(sockets, int) and sockets > 0 else DEFAULT_MAX_SOCKETS
 
 
+def _read_memory_mb(limits: Any) -> float:
+    memory_mb = limits.get("memory_mb") if isinstance(limits, dict) else None
+    if isinstance(memory_mb, bool) or not isinstance(memory_mb, (int, float)) or not memory_mb > 0:
+        return DEFAULT_MEMORY_MB
+    return float(memory_mb)
+
+
 def reread_config(before: Config, env: Mapping[str, str] | None = None) -> Config:
     """Read the configuration file again while the proxy is running on ``before``.
 
--- /dev/null
+++ b/beechslip/memory_budget.py
@@ -0,0 +1,174 @@
+"""The memory of the process: one budget, divided into rooms that each have a limit.
+
+Whoever keeps bytes that others decide on (clients, backends, the change log) holds a charge in a room for them. A
+room that is full asks its holders to stop reading; those that have held their bytes for too long are ended, so that
+slow senders do not keep quick ones out. Pure: times come in as arguments.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from beechslip.counters import Counters
+
+BYTES_PER_MB = 1 << 20
+# The part of the limit that is kept free: for the interpreter's own bookkeeping, fragments and what is copied.
+RESERVE_FRACTION = 0.1
+CONNECTION_BYTES = 5_120  # an open connection without any request: its socket, transport and state
+RESUME_BYTES = 16_384  # free bytes for which one waiting reader is resumed
+
+
+@dataclass(frozen=True, slots=True)
+class RoomPlan:
+    """What a room may hold.
+
+    ``share`` is its part of the available memory, ``least_bytes`` its limit at least, and ``most_bytes`` at most.
+    ``patience_ms`` is how long a holder may keep its bytes while the room is full.
+    """
+
+    name: str
+    share: float
+    least_bytes: int
+    patience_ms: float
+    most_bytes: int = 1 << 40
+
+
+# Requests that clients have sent in part or whole, until they are answered.
+REQUESTS = RoomPlan("requests", 0.3, 512 * 1024, 1_000.0)
+# Responses of backends that are being received.
+RESPONSES = RoomPlan("responses", 0.35, 512 * 1024, 1_000.0)
+# Responses that clients have not read yet.
+UNSENT = RoomPlan("unsent", 0.15, 256 * 1024, 0.0)
+# Events of the change log that are being received.
+EVENTS = RoomPlan("events", 0.1, 512 * 1024, 0.0, 8 * BYTES_PER_MB)
+
+
+class MemoryCharge:
+    """The bytes that one holder keeps in a room. The holder sets the amount, and sets it to 0 when it is done."""
+
+    __slots__ = ("_room", "amount", "end", "since_ms")
+
+    def __init__(self, room: MemoryRoom, end: Callable[[], None] | None = None) -> None:
+        """Create an empty charge.
+
+        ``end`` makes its holder give up the bytes, which sets the amount to 0; ``None`` if they must be kept.
+        """
+        self._room = room
+        self.end = end
+        self.amount = 0
+        self.since_ms = 0.0  # when the amount was last above 0 after it had been 0
+
+    def set(self, amount: int, now_ms: float) -> None:
+        """Set the number of bytes that the holder keeps from now on."""
+        if amount != self.amount:
+            self._room.change(self, amount, now_ms)
+
+
+class MemoryRoom:
+    """A part of the memory budget. Its limit may be exceeded by what has been read already."""
+
+    def __init__(self, plan: RoomPlan, limit_bytes: int, counters: Counters) -> None:
+        """Create an empty room."""
+        self.name = plan.name
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+        self.peak_bytes = 0
+        self._patience_ms = plan.patience_ms
+        self._counters = counters
+        self._endable: dict[MemoryCharge, None] = {}  # charges that can be ended, the oldest first
+        self._waiters: dict[Callable[[], None], None] = {}  # in the order in which they came
+
+    @property
+    def is_full(self) -> bool:
+        """True if no more bytes should be read."""
+        return self.held_bytes >= self.limit_bytes
+
+    @property
+    def free_bytes(self) -> int:
+        """The bytes that the room may still take."""
+        return max(self.limit_bytes - self.held_bytes, 0)
+
+    def change(self, charge: MemoryCharge, amount: int, now_ms: float) -> None:
+        """Set the amount of a charge; holders use ``MemoryCharge.set``."""
+        if not charge.amount:
+            charge.since_ms = now_ms
+            if charge.end is not None:
+                self._endable[charge] = None
+        elif not amount:
+            self._endable.pop(charge, None)
+        grows = amount > charge.amount
+        self.held_bytes += amount - charge.amount
+        charge.amount = amount
+        if not grows:
+            self._resume_waiters()
+        elif self.held_bytes > self.peak_bytes:
+            self.peak_bytes = self.held_bytes
+
+    def wait(self, resume: Callable[[], None]) -> None:
+        """Call ``resume`` once, when the room has space again."""
+        self._counters.add(f"memory.{self.name}.waits")
+        self._waiters[resume] = None
+
+    def cancel_wait(self, resume: Callable[[], None]) -> None:
+        """Forget ``resume``, whose holder has gone. No effect if it does not wait."""
+        self._waiters.pop(resume, None)
+
+    def _resume_waiters(self) -> None:
+        count = min(len(self._waiters), self.free_bytes // RESUME_BYTES)
+        for _ in range(count):
+            resume = next(iter(self._waiters))
+            del self._waiters[resume]
+            resume()
+
+    def end_oldest(self, now_ms: float) -> None:
+        """While the room is full, end holders that have kept their bytes for too long, the oldest first."""
+        while self.is_full and self._endable:
+            charge = next(iter(self._endable))
+            if now_ms - charge.since_ms < self._patience_ms or charge.end is None:
+                return
+            self._counters.add(f"memory.{self.name}.ended")
+            charge.end()
+            if charge.amount:  # a holder that could not give up its bytes is not asked again
+                self._endable.pop(charge, None)
+
+
+class MemoryBudget:
+    """Owns the memory of the process: its limit, and the rooms that the limit is divided into."""
+
+    def __init__(self, limit_mb: float, floor_bytes: int, max_connections: int, counters: Counters) -> None:
+        """Divide what ``limit_mb`` leaves.
+
+        ``floor_bytes`` is the process's resident memory before it serves, ``max_connections`` the number of
+        connections of clients and to backends that it may hold.
+        """
+        self.limit_bytes = int(limit_mb * BYTES_PER_MB)
+        reserved = int(self.limit_bytes * RESERVE_FRACTION) + max_connections * CONNECTION_BYTES
+        self.available_bytes = max(self.limit_bytes - floor_bytes - reserved, 0)
+        self._counters = counters
+        self.requests = self._create_room(REQUESTS)
+        self.responses = self._create_room(RESPONSES)
+        self.unsent = self._create_room(UNSENT)
+        self.events = self._create_room(EVENTS)
+        self.rooms = (self.requests, self.responses, self.unsent, self.events)
+
+    def _create_room(self, plan: RoomPlan) -> MemoryRoom:
+        limit_bytes = max(int(self.available_bytes * plan.share), plan.least_bytes)
+        return MemoryRoom(plan, min(limit_bytes, plan.most_bytes), self._counters)
+
+    def relieve(self, now_ms: float) -> None:
+        """End holders that keep a full room from others for too long; to be called regularly."""
+        for room in self.rooms:
+            room.end_oldest(now_ms)
+
+    def describe(self) -> str:
+        """Return the rooms with what they hold, held at most, and may hold, in KB, for the log."""
+        return " ".join(
+            f"{room.name}={room.held_bytes >> 10}/{room.peak_bytes >> 10}/{room.limit_bytes >> 10}"
+            for room in self.rooms
+        )
+
+
+def unlimited_budget(counters: Counters) -> MemoryBudget:
+    """Return a budget that is far larger than any test needs."""
+    return MemoryBudget(16_384.0, 0, 0, counters)
--- a/beechslip/platform/backends.py
+++ b/beechslip/platform/backends.py
@@ -10,11 +10,13 @@
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from beechslip.clock import Clock, to_ms
 from beechslip.config import ConfigError
 from beechslip.core.model import AttemptRequest, AttemptResult, Backend
 from beechslip.counters import Counters
+from beechslip.memory_budget import MemoryBudget, unlimited_budget
 from beechslip.platform.backend_messages import MAX_RESPONSE_BODY_BYTES, attempt_request_bytes, parse_backend_response
 from beechslip.platform.connection import (
     BackendConnection,
@@ -41,13 +43,24 @@
 class BackendClient:
     """Owns the connection pool. Implements the core's ``AttemptExecutor`` and ``HealthChecker``."""
 
-    def __init__(self, settings: Settings, sockets: int, clock: Clock, counters: Counters) -> None:
-        """Create a client. Its pool uses a part of ``sockets``, the descriptors that the process may use."""
+    def __init__(
+        self,
+        settings: Settings,
+        sockets: int,
+        clock: Clock,
+        counters: Counters,
+        memory: MemoryBudget | None = None,
+    ) -> None:
+        """Create a client. Its pool uses a part of ``sockets``, the descriptors that the process may use.
+
+        Without ``memory`` its responses are not limited in sum.
+        """
+        room = (memory or unlimited_budget(counters)).responses
         self._counters = counters
         self._clock = clock
         # Clients may use half of the descriptors. Three eighths for backends leave the rest for everything else.
         max_connections = max(sockets * 3 // 8, 1)
-        self._pool = ConnectionPool(clock, counters, max_connections, IDLE_TIMEOUT_MS, DIAL_TIMEOUT_MS)
+        self._pool = ConnectionPool(clock, counters, room, max_connections, IDLE_TIMEOUT_MS, DIAL_TIMEOUT_MS)
         self.retune(settings)
 
     def retune(self, settings: Settings) -> None:
@@ -158,11 +171,12 @@
         response = received.response
         target = message[: message.index(b" HTTP/")].decode("ascii")
         previous = connection.last_exchange
-        current = CompletedExchange(target, response.body, response.fields.get("x-digest", ""))
+        body = response.body
+        current = CompletedExchange(target, len(body), hash(body), response.fields.get("x-digest", ""))
         connection.last_exchange = current
-        if response.status != 200 or not response.body or previous is None or previous.target == target:
+        if response.status != 200 or not body or previous is None or previous.target == target:
             return False
-        return previous.body == current.body and previous.digest == current.digest
+        return replace(current, target=previous.target) == previous
 
     async def execute(self, attempt_request: AttemptRequest, may_start: Callable[[], bool]) -> AttemptResult:
         """Carry out an attempt; see ``AttemptExecutor``.
--- a/beechslip/platform/client_connection.py
+++ b/beechslip/platform/client_connection.py
@@ -1,23 +1,36 @@
-"""A client's HTTP connection: aiohttp's protocol with the state on which bounds and time limits depend."""
+"""A client's HTTP connection: its requests, one at a time, and the state on which bounds and limits depend."""
 
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 from collections import deque
-from typing import Any, Protocol
-
-from aiohttp import web
+from collections.abc import Callable
+from typing import Protocol
 
 from beechslip.clock import Clock
 from beechslip.counters import Counters
-from beechslip.platform.client_requests import BadRequestError
+from beechslip.memory_budget import MemoryBudget, MemoryCharge
+from beechslip.platform.client_requests import MAX_REQUEST_BODY_BYTES, BadRequestError
+from beechslip.platform.fair_turns import STEPS_PER_TURN, FairTurns
+from beechslip.platform.http_messages import CONTINUE_RESPONSE, HttpResponse, response_head
+from beechslip.platform.request_assembler import BadStreamError, RequestAssembler, WholeRequest
+from beechslip.platform.request_head import RequestHead
 from beechslip.platform.sockets import RetryingSocket
 
+log = logging.getLogger("beechslip.front")
+
 # A read within this many milliseconds of the previous one is taken for a part of the same burst of waiting bytes.
 SAME_BURST_MS = 20.0
-MAX_READ_AHEAD_BYTES = 65_536  # bytes that a client may send ahead while aiohttp's queue of requests is full
-REQUEST_END = b"\r\n\r\n"  # end of a request without a body
+MAX_READ_AHEAD_BYTES = 65_536  # of whole requests that wait behind the one being handled; further ones are refused
+# A connection with input that has been unread for this long may have been closed by its client without a sign here.
+MAX_UNREAD_MS = 50.0
+HANDLED_PER_STEP = 2  # requests of a connection that are begun in one step of the event loop
+REFUSALS_PER_WRITE = 64
+JOINED_BODY_BYTES = 16_384  # bodies up to this size are written together with their heads
+# Reads are this long at least, also while memory is short, so that small requests are read at once.
+MIN_READ_BYTES = 2_048
 
 # TCP states (Linux, tcp_states.h) in which the other side has not closed: ESTABLISHED, FIN_WAIT1, FIN_WAIT2.
 OPEN_TCP_STATES = frozenset({1, 4, 5})
@@ -35,11 +48,60 @@
         return UNKNOWN_TCP_STATE
 
 
+class Exchange:
+    """A request that awaits its response."""
+
+    __slots__ = ("_connection", "on_departure")
+
+    def __init__(self, connection: ClientConnection) -> None:
+        """Create the exchange of the request that ``connection`` begins."""
+        self._connection = connection
+        self.on_departure: Callable[[], None] | None = None  # called if the client leaves before its response
+
+    @property
+    def has_client_departed(self) -> bool:
+        """True if the client has closed its connection, or has had its response."""
+        return self._connection.exchange is not self or self._connection.has_client_departed
+
+    @property
+    def has_more_input(self) -> bool:
+        """True if the client has sent more bytes after the request."""
+        return self._connection.has_more_input
+
+    def respond(self, response: HttpResponse) -> None:
+        """Send the response. No effect if the client has left, or has had one."""
+        if self._connection.exchange is self:
+            self.on_departure = None  # it refers to the request, which would be kept by a reference cycle
+            self._connection.send_response(response)
+
+
+class RequestHandler(Protocol):
+    """Answers requests."""
+
+    def check_head(self, head: RequestHead) -> None:
+        """Raise BadRequestError if a request with this head can't be served, before its body is received."""
+
+    def handle_request(self, request: WholeRequest, exchange: Exchange) -> None:
+        """Respond to a request, now or later. Raises BadRequestError if it can't be served."""
+
+    def refusal(self) -> HttpResponse:
+        """Return the response to a request that is refused because its client sends too much."""
+        ...
+
+    def rejection(self, error: BadRequestError) -> HttpResponse:
+        """Return the response to a request that can't be served, and count it."""
+        ...
+
+
 class ConnectionOwner(Protocol):
     """What a connection needs from the server that owns it."""
 
     clock: Clock
     counters: Counters
+    handler: RequestHandler
+    memory: MemoryBudget
+    turns: FairTurns
+    read_buffer: memoryview  # shared by all connections, as each read is taken over at once
 
     def admit(self, connection: ClientConnection) -> None:
         """Add a new connection."""
@@ -57,65 +119,93 @@
         """Return how long the event loop was stalled, if it has just resumed; 0 while it runs."""
         ...
 
-    def reject_request(self, error: BadRequestError) -> web.Response:
-        """Return the response to a request that can't be served."""
-        ...
 
-
-class ClientConnection(web.RequestHandler):
-    """A client's connection. ``attach_to_server`` completes its construction."""
+class ClientConnection(asyncio.BufferedProtocol):
+    """A client's connection."""
 
     __slots__ = (
-        "_bytes_read_ahead",
+        "_assembler",
+        "_handled_bytes",
         "_has_request_begun",
+        "_is_begin_scheduled",
         "_is_kernel_state_known",
-        "_last_bytes",
+        "_is_reading_paused",
+        "_is_waiting_for_room",
+        "_is_waiting_for_turn",
+        "_keeps_connection",
+        "_last_response",
         "_owner",
+        "_partial_charge",
         "_previous_read_ms",
-        "_queued_received_ms",
+        "_queue",
+        "_queued_bytes",
         "_read_delay_ms",
+        "_read_size",
+        "_refusals_owed",
+        "_sends_body",
         "_sock",
-        "current_body",
+        "_unread_since_ms",
+        "_unsent_charge",
+        "_whole_charge",
+        "exchange",
         "is_awaiting_request",
         "is_closed_by_client",
-        "is_handling_request",
+        "is_lingering",
         "last_read_ms",
         "raw_transport",
-        "request_received_ms",
         "state_since_ms",
+        "writing_paused",
     )
 
-    def attach_to_server(self, owner: ConnectionOwner, sock: RetryingSocket | None) -> ClientConnection:
-        """Set the state that aiohttp's constructor does not take. Return the connection itself."""
+    def __init__(self, owner: ConnectionOwner, sock: RetryingSocket | None) -> None:
+        """Create the protocol of a connection that has been accepted on ``sock``."""
         self._owner = owner
         self._sock = sock
         self.last_read_ms = owner.clock.now_ms()  # when the last bytes were received
         self.state_since_ms = self.last_read_ms  # when it became idle, or a request on it became incomplete
         self.is_awaiting_request = True  # a new connection is expected to send a request
-        self.is_handling_request = False  # a complete request is being handled
-        # Unlike aiohttp's own ``transport``, this stays set while the connection is being closed.
+        self.exchange: Exchange | None = None  # of the request that is being handled
         self.raw_transport: asyncio.Transport | None = None
         self.is_closed_by_client = False
-        self.current_body: Any = None  # the body of the request that aiohttp has taken from its queue
-        self.request_received_ms = self.last_read_ms  # when the head of that request was complete
-        self._queued_received_ms = deque[float]()  # the same for the requests queued behind it
+        self.is_lingering = False  # the last response has been sent, and what the client still sends is dropped
+        self.writing_paused = False  # bytes of a response are waiting to be sent
+        self._assembler = RequestAssembler(self._keeps_body)
+        self._queue = deque[WholeRequest]()  # whole requests behind the one that is being handled
+        self._queued_bytes = 0
+        self._handled_bytes = 0  # memory of the request that is being handled
+        self._refusals_owed = 0  # requests behind the queue that are not kept, and are refused in their turn
+        self._last_response: HttpResponse | None = None  # to what follows the queue; it ends the connection
+        self._keeps_connection = True  # whether the client of the current request keeps the connection
+        self._sends_body = True  # whether the response to the current request has a body
+        self._partial_charge = MemoryCharge(owner.memory.requests, self.end_partial_request)
+        self._whole_charge = MemoryCharge(owner.memory.requests)
+        self._unsent_charge = MemoryCharge(owner.memory.unsent, self._end_unsent)
         self._has_request_begun = False  # bytes of an unanswered request have been received
-        self._last_bytes = REQUEST_END  # the last bytes received, which show whether they end a request
-        self._bytes_read_ahead = 0  # bytes received while aiohttp's queue of requests was full
+        self._is_begin_scheduled = False
+        self._is_waiting_for_turn = False
+        self._is_waiting_for_room = False
+        self._is_reading_paused = False
+        self._read_size = 0  # bytes that the last read could take
+        self._unread_since_ms: float | None = None  # since when input may have been unread
         self._is_kernel_state_known = False
         self._previous_read_ms = 0.0  # when bytes were last read
         self._read_delay_ms = 0.0  # how long those bytes had waited to be read
-        return self
+
+    # State ----------------------------------------------------------------------------------------
+
+    @property
+    def is_handling_request(self) -> bool:
+        """True if a complete request is being handled."""
+        return self.exchange is not None
 
     @property
     def has_pending_request(self) -> bool:
         """True if a request has been received completely and awaits its response.
 
-        This guards against closing the connection between the request's last byte and the first step of its handler:
-        the client has sent the request on a connection that was open.
+        This guards against closing the connection between the request's last byte and the step that handles it: the
+        client has sent the request on a connection that was open.
         """
-        received = self.current_body is not None and self.current_body.is_eof()
-        return self.is_handling_request or received or any(payload.is_eof() for _, payload in self._messages)
+        return bool(self.exchange or self._queue or self._refusals_owed or self._last_response)
 
     @property
     def has_client_departed(self) -> bool:
@@ -138,10 +228,15 @@
         """True if a part of a request has been received and no request is pending."""
         return self.is_awaiting_request and self._has_request_begun and not self.has_pending_request
 
+    @property
+    def is_held_up(self) -> bool:
+        """True if the rest of a partial request is not read for want of memory."""
+        return self._is_waiting_for_room
+
     @property
     def has_more_input(self) -> bool:
         """True if the client has sent more bytes after the request that is being handled."""
-        return bool(self._messages) or self._last_bytes != REQUEST_END
+        return bool(self._queue or self._refusals_owed or self._last_response or self._assembler.has_partial_request)
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -153,36 +248,80 @@
         """True if a request or a response on the connection is incomplete."""
         return self.has_pending_request or self.has_partial_request or self.has_unsent_bytes
 
+    # Transport's callbacks ------------------------------------------------------------------------
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with its server; see ``asyncio.BaseProtocol``."""
-        super().connection_made(transport)
-        self.raw_transport = self.transport
-        self._is_kernel_state_known = _tcp_state(self.raw_transport) in OPEN_TCP_STATES
+        assert isinstance(transport, asyncio.Transport)
+        transport.set_write_buffer_limits(high=0)
+        self.raw_transport = transport
+        self._is_kernel_state_known = _tcp_state(transport) in OPEN_TCP_STATES
         self._owner.admit(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Handle received bytes; see ``asyncio.Protocol``.
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read; see ``asyncio.BufferedProtocol``."""
+        buffer = self._owner.read_buffer
+        self._read_size = max(min(self._owner.memory.requests.free_bytes // 4, len(buffer)), MIN_READ_BYTES)
+        return buffer[: self._read_size]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle the bytes that were read; see ``asyncio.BufferedProtocol``."""
+        if nbytes < self._read_size:
+            self._unread_since_ms = None
+        elif self._unread_since_ms is None:
+            self._unread_since_ms = self._owner.clock.now_ms()
+        self.data_received(self._owner.read_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Handle received bytes. They may not be kept after this call."""
+        if self.is_lingering or self._last_response is not None:
+            return
+        self._record_received_bytes()
+        self._assembler.feed(data)
+        if self._advance() and not self._is_waiting_for_turn:
+            self._is_waiting_for_turn = True
+            self._owner.turns.add(self)
+        self._update_reading()
+
+    def pause_writing(self) -> None:
+        """Begin no request while a response is unread; see ``asyncio.BaseProtocol``."""
+        self.writing_paused = True
+        self._update_reading()
+
+    def resume_writing(self) -> None:
+        """Go on with the next request; see ``asyncio.BaseProtocol``."""
+        self.writing_paused = False
+        self._unsent_charge.set(0, self._owner.clock.now_ms())
+        self._update_reading()
+        self._schedule_begin()
+
+    def eof_received(self) -> None:
+        """Note that the client has closed the connection. What it has asked for is dropped at once.
 
-        aiohttp calls this without bytes to continue with the bytes that it has buffered.
+        Unsent bytes delay ``connection_lost``.
         """
-        if data:
-            self._record_received_bytes(data)
-        queued = len(self._messages)
-        super().data_received(data)
-        self._queued_received_ms.extend([self.last_read_ms] * (len(self._messages) - queued))
+        self._client_departed()
 
-    def _record_received_bytes(self, data: bytes) -> None:
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note that the connection has ended; see ``asyncio.BaseProtocol``."""
+        self.raw_transport = None
+        self._client_departed()
+        self._owner.memory.requests.cancel_wait(self._room_is_free)
+        now_ms = self._owner.clock.now_ms()
+        self._partial_charge.set(0, now_ms)
+        self._whole_charge.set(0, now_ms)
+        self._unsent_charge.set(0, now_ms)
+        self._owner.connection_closed(self)
+
+    # Receiving requests ---------------------------------------------------------------------------
+
+    def _record_received_bytes(self) -> None:
         self.last_read_ms = self._earliest_arrival_ms()
         self._has_request_begun = True
-        self._last_bytes = (self._last_bytes + data[-4:])[-4:]
         if not self.is_awaiting_request and not self.is_handling_request:
             self.is_awaiting_request = True
             self.state_since_ms = self.last_read_ms
             self._owner.connection_state_changed(self)
-        if self._buffer_paused:
-            self._bytes_read_ahead += len(data)
-            if self._bytes_read_ahead > MAX_READ_AHEAD_BYTES:
-                super()._pause_transport_reading()
 
     def _earliest_arrival_ms(self) -> float:
         """Return the earliest time at which the bytes just read may have been received.
@@ -200,73 +339,282 @@
         self._read_delay_ms = blocked_ms
         return now_ms - blocked_ms
 
-    def begin_request(self, body: Any) -> None:
-        """Note that aiohttp takes the next request, with this body, from its queue."""
-        self.current_body = body
-        self.request_received_ms = (
-            self._queued_received_ms.popleft() if self._queued_received_ms else self.last_read_ms
+    def take_turn(self) -> bool:
+        """Go on with input that was more than one turn's work; see ``TurnTaker``."""
+        has_more_work = self._last_response is None and not self.is_closed_by_client and self._advance()
+        if not has_more_work:
+            self._is_waiting_for_turn = False
+            self._update_reading()
+        return has_more_work
+
+    def _advance(self) -> bool:
+        """Work on received bytes for a turn. Return True if there is more work."""
+        has_more_work = False
+        try:
+            requests, has_more_work = self._assembler.advance(STEPS_PER_TURN, self.last_read_ms)
+        except BadStreamError as bad_stream:
+            requests = bad_stream.complete_requests
+            self._end_input(self._owner.handler.rejection(bad_stream.error))
+        for request in requests:
+            self._enqueue(request)
+        if self.has_pending_request:
+            self._schedule_begin()
+        self._update_charges()
+        return has_more_work
+
+    def _keeps_body(self, head: RequestHead) -> bool:
+        """Return True if the body that begins is to be kept. Raises BadRequestError if it need not be received."""
+        self._owner.handler.check_head(head)
+        if self.has_pending_request:
+            body_bytes = MAX_REQUEST_BODY_BYTES if head.is_chunked else head.content_length
+            return self._has_room_in_queue(body_bytes)
+        if head.expects_continue and self.raw_transport is not None:
+            self.raw_transport.write(CONTINUE_RESPONSE)  # the client may wait for this before it sends the body
+        return True
+
+    def _has_room_in_queue(self, nbytes: int) -> bool:
+        return (
+            not self._refusals_owed
+            and self._queued_bytes + nbytes <= MAX_READ_AHEAD_BYTES
+            and not self._owner.memory.requests.is_full
         )
 
-    def request_received(self, *, has_body: bool) -> None:
-        """Note that the current request has been read completely, with or without a body, and is being handled."""
-        self.is_handling_request = True
-        if has_body:  # the end of the body is not known here; bytes behind it show up as further input
-            self.request_received_ms = self.last_read_ms
-            self._last_bytes = REQUEST_END
-
-    def _pause_transport_reading(self) -> None:
-        """Keep reading when aiohttp's queue of requests is full, up to MAX_READ_AHEAD_BYTES.
-
-        This guards against a client that sends many requests at once and leaves. A transport that is not being read
-        does not report its end, so all queued requests would be forwarded for a client that has left.
-        """
-        if not self._buffer_paused or self._reading_paused:
-            super()._pause_transport_reading()
-
-    def _resume_transport_reading(self) -> None:
-        self._bytes_read_ahead = 0
-        super()._resume_transport_reading()
-
-    def eof_received(self) -> None:
-        """Note that the client has closed the connection.
+    def _enqueue(self, request: WholeRequest) -> None:
+        """Keep a request until its turn. One beyond the bound is not kept: it is refused when its turn comes."""
+        is_first = not self.has_pending_request
+        if request.is_dropped or not (is_first or self._has_room_in_queue(request.held_bytes)):
+            self._refusals_owed += 1
+            return
+        self._queue.append(request)
+        self._queued_bytes += request.held_bytes
+
+    def _end_input(self, response: HttpResponse) -> None:
+        """Answer what the client has sent last with ``response``, and end the connection with it."""
+        self._assembler.clear()
+        response.closes_connection = True
+        self._last_response = response
+
+    def end_partial_request(self) -> None:
+        """Refuse a request that has been received in part, because its memory is needed."""
+        self._end_input(self._owner.handler.refusal())
+        self._partial_charge.set(0, self._owner.clock.now_ms())
+        self._schedule_begin()
+
+    def _update_charges(self) -> None:
+        now_ms = self._owner.clock.now_ms()
+        self._partial_charge.set(self._assembler.held_bytes, now_ms)
+        self._whole_charge.set(self._queued_bytes + self._handled_bytes, now_ms)
+
+    # Reading and pausing --------------------------------------------------------------------------
+
+    def _update_reading(self) -> None:
+        """Read from the transport, or pause: for a turn, for memory, or until responses have been read."""
+        transport = self.raw_transport
+        if transport is None or transport.is_closing():
+            return
+        room = self._owner.memory.requests
+        if self._partial_charge.amount and not self._is_waiting_for_room and room.is_full:
+            self._is_waiting_for_room = True
+            room.wait(self._room_is_free)
+        is_dropping_input = self.is_lingering or self._last_response is not None
+        pauses = (
+            self._is_waiting_for_turn
+            or (self._is_waiting_for_room and not is_dropping_input)
+            or (self.writing_paused and (self._refusals_owed > 0 or self._queued_bytes > 0))
+        )
+        if pauses == self._is_reading_paused:
+            return
+        self._is_reading_paused = pauses
+        if pauses:
+            if self._unread_since_ms is None:
+                self._unread_since_ms = self._owner.clock.now_ms()
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
+
+    def _room_is_free(self) -> None:
+        self._is_waiting_for_room = False
+        self._update_reading()
+
+    def _may_have_left_unseen(self) -> bool:
+        """Return True if input has been unread for so long that the client's end may be behind it."""
+        if self._unread_since_ms is None or self._sock is None:
+            return False
+        if self._owner.clock.now_ms() - self._unread_since_ms <= MAX_UNREAD_MS:
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:  # all has been read
+            self._unread_since_ms = None
+            return False
+        except OSError:
+            return True
+        return True
+
+    # Handling requests ----------------------------------------------------------------------------
+
+    def _schedule_begin(self) -> None:
+        """Begin requests in the next step of the event loop: a close may be read, or come about, in this one."""
+        if not self._is_begin_scheduled:
+            self._is_begin_scheduled = True
+            asyncio.get_running_loop().call_soon(self._begin_requests)
+
+    def _begin_requests(self) -> None:
+        self._is_begin_scheduled = False
+        for _ in range(HANDLED_PER_STEP):
+            if not self._can_send_response():
+                return
+            if not self._queue:
+                break
+            self._begin_request(self._queue.popleft())
+        if not self._can_send_response():
+            return
+        if self._queue:
+            self._schedule_begin()
+        elif self._refusals_owed:
+            self._send_refusals()
+        elif self._last_response is not None and not self.is_lingering:
+            self._send_last_response()
+
+    def _can_send_response(self) -> bool:
+        return (
+            self.exchange is None
+            and not self.writing_paused
+            and not self.is_closed_by_client
+            and self.raw_transport is not None
+            and not self.raw_transport.is_closing()
+        )
 
-        Its handler is cancelled at once, because unsent bytes delay ``connection_lost``.
+    def _begin_request(self, request: WholeRequest) -> None:
+        self._queued_bytes -= request.held_bytes
+        self._handled_bytes = request.held_bytes
+        self._read_delay_ms = 0.0
+        self.exchange = exchange = Exchange(self)
+        try:
+            head = request.head()
+            self._keeps_connection = head.keeps_connection
+            self._sends_body = head.method != "HEAD"
+            if self._may_have_left_unseen():
+                self._owner.counters.add("refused.unread")
+                exchange.respond(self._owner.handler.refusal())
+            else:
+                self._owner.handler.handle_request(request, exchange)
+        except BadRequestError as error:
+            self._end_with(self._owner.handler.rejection(error))
+        except Exception:
+            self._owner.counters.add("fault.front")
+            log.exception("request could not be handled")
+            self._end_with(HttpResponse(500))
+
+    def _end_with(self, response: HttpResponse) -> None:
+        """Answer the current request with ``response``, and end the connection with it."""
+        self.exchange = None
+        self._handled_bytes = 0
+        self._drop_requests()
+        self._end_input(response)
+        self._update_charges()
+        self._schedule_begin()
+
+    def send_response(self, response: HttpResponse) -> None:
+        """Send the response to the request that is being handled; see ``Exchange.respond``."""
+        self.exchange = None
+        self._handled_bytes = 0
+        response.closes_connection = response.closes_connection or not self._keeps_connection
+        self._write_response(response)
+        if response.closes_connection:
+            self._drop_requests()
+            self.force_close()
+        self._update_charges()
+        self._request_done()
+        if self._queue or self._refusals_owed or self._last_response is not None:
+            self._schedule_begin()
+
+    def _write_response(self, response: HttpResponse) -> None:
+        if self.raw_transport is None:
+            return
+        head = response_head(response, self._owner.clock.wall_ms())
+        body = response.body if self._sends_body else b""
+        if len(body) <= JOINED_BODY_BYTES:
+            self.raw_transport.write(head + body)
+        else:
+            self.raw_transport.write(head)
+            self.raw_transport.write(body)
+        self._charge_unsent()
+
+    def _charge_unsent(self) -> None:
+        if self.raw_transport is None or not self.writing_paused:
+            return
+        now_ms = self._owner.clock.now_ms()
+        self._unsent_charge.set(self.raw_transport.get_write_buffer_size(), now_ms)
+        self._owner.memory.unsent.end_oldest(now_ms)
+
+    def _end_unsent(self) -> None:
+        """Close the connection of a client that does not read its response, because its memory is needed."""
+        self._unsent_charge.set(0, self._owner.clock.now_ms())
+        self._owner.counters.add("closed.memory")
+        if self.raw_transport is not None:
+            self.raw_transport.abort()
+
+    def _send_refusals(self) -> None:
+        """Refuse requests that were not kept."""
+        count = min(self._refusals_owed, REFUSALS_PER_WRITE)
+        self._refusals_owed -= count
+        refusal = self._owner.handler.refusal()
+        self._owner.counters.add("refused.ahead", count)
+        if self.raw_transport is not None:
+            self.raw_transport.write(response_head(refusal, self._owner.clock.wall_ms()) * count)
+        self._charge_unsent()
+        self._request_done()
+        if self.has_pending_request:
+            self._schedule_begin()
+
+    def _send_last_response(self) -> None:
+        """Send the response that ends the connection, and drop what the client still sends until it closes too.
+
+        Closing at once would reset the connection if bytes are unread, and the response could be lost with that.
         """
-        self.is_closed_by_client = True
-        super().eof_received()
-        if self._task_handler is not None:
-            self._task_handler.cancel()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Note that the connection has ended; see ``asyncio.BaseProtocol``."""
-        self.is_closed_by_client = True
-        self.raw_transport = None
-        super().connection_lost(exc)
-        self._owner.connection_closed(self)
-
-    def request_done(self) -> None:
+        response, self._last_response = self._last_response, None
+        self.is_lingering = True
+        if response is not None:
+            self._sends_body = True
+            self._write_response(response)
+        self._request_done()
+        if self.raw_transport is not None and self.raw_transport.can_write_eof():
+            self.raw_transport.write_eof()
+        self._update_reading()
+
+    def _request_done(self) -> None:
         """Note that the current request has its response. Bytes received after it begin the next request."""
-        self.is_handling_request = False
-        self.current_body = None
         self._read_delay_ms = 0.0
         self.is_awaiting_request = self._has_request_begun = self.has_more_input
         self.state_since_ms = self._owner.clock.now_ms()
         self._owner.connection_state_changed(self)
         self._owner.request_done()
 
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Return the response to a request that failed.
+    # The end --------------------------------------------------------------------------------------
 
-        ``web.RequestHandler`` would log each bad request with its traceback.
-        """
-        self.current_body = None  # the connection ends with this response
-        if status >= 500:
-            self._owner.counters.add("fault.front")
-            return super().handle_error(request, status, exc, message)
-        return self._owner.reject_request(BadRequestError(status, message or "the request can't be parsed"))
+    def _client_departed(self) -> None:
+        """Drop what the client has asked for."""
+        if self.is_closed_by_client:
+            return
+        self.is_closed_by_client = True
+        self._drop_requests()
+        self._assembler.clear()
+        self._handled_bytes = 0
+        self._update_charges()
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None and exchange.on_departure is not None:
+            on_departure, exchange.on_departure = exchange.on_departure, None
+            on_departure()
+        self._owner.request_done()
+
+    def _drop_requests(self) -> None:
+        self._queue.clear()
+        self._queued_bytes = 0
+        self._refusals_owed = 0
+        self._last_response = None
+
+    def force_close(self) -> None:
+        """Close the connection. Bytes that wait to be sent are still sent."""
+        if self.raw_transport is not None:
+            self.raw_transport.close()
--- a/beechslip/platform/connection.py
+++ b/beechslip/platform/connection.py
@@ -11,6 +11,7 @@
 from beechslip.clock import Clock
 from beechslip.config import Address
 from beechslip.counters import Counters
+from beechslip.memory_budget import MemoryCharge, MemoryRoom
 from beechslip.platform.responses import BackendResponse, ResponseParser, UnusableResponseError
 from beechslip.platform.sockets import LOCAL_RESOURCE_ERRORS, RetryingSocket
 
@@ -20,6 +21,7 @@
     {errno.ENETUNREACH, errno.ENETDOWN, errno.ECONNABORTED, errno.EINTR, errno.EAGAIN}
 )
 CONNECT_RETRY_S = 0.01  # delay between two attempts of one connect
+MIN_READ_BYTES = 2_048  # a read is this long at least, also while memory is short
 
 # A backend's name and address. Both are needed, because a new backend may take the address of one that was removed.
 BackendKey = tuple[str, str]
@@ -43,22 +45,33 @@
 
 @dataclass(frozen=True, slots=True)
 class CompletedExchange:
-    """The target of a request with the body and digest of its response.
+    """The target of a request with what identifies its response: length and hash of the body, and its digest.
 
     It is kept to detect a second copy of that response.
     """
 
     target: str
-    body: bytes
+    body_length: int
+    body_hash: int
     digest: str
 
 
-class BackendConnection(asyncio.Protocol):
+@dataclass(frozen=True, slots=True)
+class ReceivingMemory:
+    """Where received bytes go: the buffer of the next read, shared by all connections, and the room for the rest."""
+
+    read_buffer: memoryview
+    room: MemoryRoom
+
+
+class BackendConnection(asyncio.BufferedProtocol):
     """The asyncio protocol of one connection to a backend."""
 
     __slots__ = (
+        "_charge",
         "_clock",
         "_counters",
+        "_memory",
         "_on_closed",
         "_parser",
         "_response_waiter",
@@ -75,9 +88,12 @@
         sock: socket.socket,
         clock: Clock,
         counters: Counters,
+        memory: ReceivingMemory,
         on_closed: Callable[[BackendConnection], None],
     ) -> None:
         """Use ``sock``, which is already connected. ``on_closed`` is called once, when its descriptor is released."""
+        self._memory = memory
+        self._charge = MemoryCharge(memory.room, self._end_response)
         self.key = key
         self._sock = sock
         self._clock = clock
@@ -132,7 +148,16 @@
         except OSError:
             return None
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read; see ``asyncio.BufferedProtocol``."""
+        buffer = self._memory.read_buffer
+        return buffer[: max(min(self._memory.room.free_bytes // 4, len(buffer)), MIN_READ_BYTES)]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle the bytes that were read; see ``asyncio.BufferedProtocol``."""
+        self.data_received(self._memory.read_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes. Close the connection if they belong to no request."""
         if self._parser is None or self._response_waiter is None or self._response_waiter.done():
             # No request is pending: the bytes are a second copy of a response, or noise. They must not be taken for
@@ -147,14 +172,40 @@
             self.abort()
             return
         if response is None:
+            self._charge.set(self._parser.held_bytes, self._clock.now_ms())
+            self._pause_if_full()
             return
+        self._charge.set(0, self._clock.now_ms())
         self._parser = None
         self._response_waiter.set_result(ReceivedResponse(response, self._clock.now_ms()))
         if not response.is_connection_reusable:
             self.abort()
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def _pause_if_full(self) -> None:
+        """Read no more of a response until there is memory for it."""
+        if self._memory.room.is_full and self._transport is not None:
+            self._transport.pause_reading()
+            self._memory.room.wait(self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _end_response(self) -> None:
+        """Give up a response that has been incomplete for too long, because its memory is needed."""
+        if self._response_waiter is not None and not self._response_waiter.done():
+            self._response_waiter.set_exception(UnusableResponseError("its memory was needed before it was complete"))
+        self._release_memory()
+        self.abort()
+
+    def _release_memory(self) -> None:
+        self._parser = None
+        self._memory.room.cancel_wait(self._resume_reading)
+        self._charge.set(0, self._clock.now_ms())
+
+    def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the pending request, if any, and report the connection as closed."""
+        self._release_memory()
         if self._response_waiter is not None and not self._response_waiter.done():
             self._response_waiter.set_exception(ConnectionLostError(str(exc or "connection closed")))
         self._transport = None
--- a/beechslip/platform/connection_pool.py
+++ b/beechslip/platform/connection_pool.py
@@ -12,12 +12,14 @@
 from beechslip.config import parse_address
 from beechslip.core.model import Backend
 from beechslip.counters import Counters
-from beechslip.platform.connection import BackendConnection, BackendKey, connect_socket
+from beechslip.memory_budget import MemoryRoom
+from beechslip.platform.connection import BackendConnection, BackendKey, ReceivingMemory, connect_socket
 
 # Milliseconds for which a connection must have been idle before it is used again. Bytes that a backend sends beyond
 # its response follow it directly. If they arrive within this time, they close the connection instead of being read as
 # the next response.
 MIN_IDLE_MS = 20.0
+READ_BUFFER_BYTES = 65_536  # also the most that is read from a connection in one step of the event loop
 
 
 class ConnectionLimiter(Protocol):
@@ -39,9 +41,15 @@
     """Owns the connections to backends and bounds their number. Idle connections count."""
 
     def __init__(
-        self, clock: Clock, counters: Counters, max_connections: int, idle_timeout_ms: float, dial_timeout_ms: float
+        self,
+        clock: Clock,
+        counters: Counters,
+        room: MemoryRoom,
+        max_connections: int,
+        idle_timeout_ms: float,
+        dial_timeout_ms: float,
     ) -> None:
-        """Create an empty pool.
+        """Create an empty pool, whose connections receive responses into ``room``.
 
         Connections that were idle for more than ``idle_timeout_ms`` are not used again. A dial may take
         ``dial_timeout_ms``.
@@ -51,6 +59,7 @@
         self.limiter: ConnectionLimiter | None = None
         self._clock = clock
         self._counters = counters
+        self._memory = ReceivingMemory(memoryview(bytearray(READ_BUFFER_BYTES)), room)
         self._max_connections = max_connections
         self._connections: set[BackendConnection] = set()
         self._dials_in_progress = 0
@@ -147,7 +156,7 @@
         created = list[BackendConnection]()
 
         def create() -> BackendConnection:
-            created.append(BackendConnection(key, sock, self._clock, self._counters, self._on_closed))
+            created.append(BackendConnection(key, sock, self._clock, self._counters, self._memory, self._on_closed))
             return created[0]
 
         self._dials_in_progress += 1
--- a/beechslip/platform/front.py
+++ b/beechslip/platform/front.py
@@ -6,28 +6,24 @@
 import contextlib
 import socket
 from collections.abc import Callable
-from typing import Any
-
-from aiohttp import web
 
 from beechslip.clock import Clock, ScheduledCall
 from beechslip.config import Address
 from beechslip.core.messages import ClientDisconnected, RequestReceived
 from beechslip.core.model import AttemptExecutor, FinalResponse
 from beechslip.counters import Counters
-from beechslip.platform.client_connection import ClientConnection
-from beechslip.platform.client_requests import (
-    MAX_REQUEST_BODY_BYTES,
-    BadRequestError,
-    check_header_fields,
-    parse_client_request,
-)
+from beechslip.memory_budget import MemoryBudget, unlimited_budget
+from beechslip.platform.client_connection import Exchange
+from beechslip.platform.client_requests import BadRequestError, parse_client_request
+from beechslip.platform.http_messages import HttpResponse, text_response
+from beechslip.platform.request_assembler import WholeRequest
+from beechslip.platform.request_head import RequestHead
 from beechslip.platform.server import LOOP_CHECK_INTERVAL_MS, BoundedServer
 from beechslip.platform.sockets import Listener, open_listening_socket
 from beechslip.routing.interface import Settings
 
 EXPIRY_CHECK_INTERVAL_MS = 250.0  # interval between checks of the connections' time limits
-CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+HEALTH_PATH = "/health"
 CLOSE_TIMEOUT_S = 2.0  # time for responses that are being written when the front closes
 PENDING_WORK_TIMEOUT_MS = 2_400.0  # for a request that is being read at the drain; longer ones are closed as expired
 LISTEN_BACKLOG = 512  # connections that may wait in the kernel
@@ -42,39 +38,38 @@
 
 
 class HttpResponseSink:
-    """Waits for the final response to one request. Implements the core's ``ResponseSink``."""
+    """Takes the final response to one request. Implements the core's ``ResponseSink``."""
 
-    def __init__(self, connection: ClientConnection) -> None:
-        """Create a sink for a request that was received on ``connection``."""
-        self._connection = connection
-        self.final_response: asyncio.Future[FinalResponse] = asyncio.get_running_loop().create_future()
+    def __init__(self, exchange: Exchange, respond: Callable[[Exchange, HttpResponse], None]) -> None:
+        """Create a sink whose response is sent to the client by ``respond``."""
+        self._exchange = exchange
+        self._respond = respond
 
     def answer(self, final_response: FinalResponse) -> None:
-        """Take the final response. Later calls are ignored."""
-        if not self.final_response.done():
-            self.final_response.set_result(final_response)
+        """Send the final response. Later calls are ignored."""
+        self._respond(self._exchange, to_http_response(final_response))
 
     @property
     def has_client_departed(self) -> bool:
         """True if the client has closed its connection."""
-        return self._connection.has_client_departed
+        return self._exchange.has_client_departed
 
 
-def to_http_response(final_response: FinalResponse) -> web.Response:
+def to_http_response(final_response: FinalResponse) -> HttpResponse:
     """Convert a final response to an HTTP response."""
     payload = final_response.payload
     if final_response.kind == "served" and payload is not None:
-        headers = {"ETag": f'"{payload.etag}"'} if payload.etag else {}
+        fields = {"ETag": f'"{payload.etag}"'} if payload.etag else {}
         if payload.is_not_modified:
-            return web.Response(status=304, headers=headers)
-        return web.Response(body=payload.body, headers=headers, content_type="application/octet-stream")
+            return HttpResponse(304, fields)
+        return HttpResponse(200, fields, payload.body, "application/octet-stream")
     if final_response.kind == "refused":
-        return web.Response(status=503, headers={"Srv-Wait-Ms": str(max(round(final_response.retry_after_ms), 0))})
-    return web.Response(status=STATUS_BY_CAUSE[final_response.cause])
+        return HttpResponse(503, {"Srv-Wait-Ms": str(max(round(final_response.retry_after_ms), 0))})
+    return HttpResponse(STATUS_BY_CAUSE[final_response.cause])
 
 
 class HttpFront:
-    """Owns the listening socket and, through its server, the clients' connections."""
+    """Owns the listening socket and, through its server, the clients' connections. Implements ``RequestHandler``."""
 
     def __init__(
         self,
@@ -84,11 +79,14 @@
         post: Callable[[object], None],
         counters: Counters,
         sockets: int = 1024,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Create a front that does not listen yet.
 
         ``post`` passes messages to the engine. ``sockets`` is the number of descriptors that the process may use.
+        Without ``memory`` what the clients send and leave unread is not limited in sum.
         """
+        self._memory = memory or unlimited_budget(counters)
         self._settings = settings
         self._clock = clock
         self._executor = executor
@@ -103,7 +101,7 @@
         self.port = 0
         # Normal clients need at most a third of the descriptors. Connections that others hold beyond that are closed
         # in time.
-        self._server = BoundedServer(self._handle_request, clock, counters, max(sockets // 2, 1))
+        self._server = BoundedServer(self, clock, counters, self._memory, max(sockets // 2, 1))
 
     @property
     def ready(self) -> bool:
@@ -119,7 +117,7 @@
         sock = await open_listening_socket(listen, LISTEN_BACKLOG) if fd is None else socket.socket(fileno=fd)
         if fd is not None:
             sock.listen(LISTEN_BACKLOG)
-        self._listener = Listener(sock, self._server, self._counters)
+        self._listener = Listener(sock, self._server.create_connection, self._counters)
         self.port = self._listener.port
         self._close_expired_connections()
         self._record_loop_run()
@@ -203,82 +201,51 @@
                 alarm.cancel()
         if self._listener is not None:
             self._listener.close()
-        self._server.close_idle(unfinished=True)  # aiohttp would wait for each of these as if it had a request
+        self._server.close_idle(unfinished=True)
         await self._server.shutdown(CLOSE_TIMEOUT_S)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
                 await self._server.wait_while_any(lambda connection: connection.has_unsent_bytes)
 
-    async def _handle_request(self, request: web.BaseRequest) -> web.StreamResponse:
-        connection: Any = request.protocol
-        try:
-            response = await self._respond(request, connection)
-        finally:
-            connection.request_done()
-        # Input that the client has sent after the request must be answered too, before the connection is closed.
-        closing = (
-            self._has_stopped_accepting or self._is_draining or self._diverting_for_ms() >= DIVERT_CLOSE_AFTER_MS
+    # Requests -------------------------------------------------------------------------------------
+
+    def check_head(self, head: RequestHead) -> None:
+        """Reject a request with an invalid head before its body is received; see ``RequestHandler``."""
+        if head.path != HEALTH_PATH:
+            parse_client_request(head.method, head.target, head.fields, b"", 0.0, self._settings)
+
+    def handle_request(self, request: WholeRequest, exchange: Exchange) -> None:
+        """Answer a request for the health page, and pass any other to the engine; see ``RequestHandler``."""
+        head = request.head()
+        if head.path == HEALTH_PATH:
+            self._respond(exchange, text_response(503, "drained") if self.is_diverting else text_response(200, "ok"))
+            return
+        client_request = parse_client_request(
+            head.method, head.target, head.fields, request.body, request.received_ms, self._settings
         )
-        if closing and not connection.has_more_input:
-            response.force_close()
-        return response
-
-    async def _respond(self, request: web.BaseRequest, connection: ClientConnection) -> web.StreamResponse:
-        if request.path == "/health":
-            if not self.is_diverting:
-                return web.Response(text="ok")
-            return web.Response(status=503, text="drained")
-        try:
-            body = await self._read_body(request)
-            connection.request_received(has_body=request.body_exists)
-            # The client's time runs from the request's last byte, not from when this task handles it.
-            client_request = parse_client_request(
-                request.method,
-                request.raw_path,
-                request.headers,
-                body,
-                connection.request_received_ms,
-                self._settings,
-            )
-        except BadRequestError as error:
-            return self._server.reject_request(error)
         refusing = self._is_draining or self._diverting_for_ms() >= DIVERT_REFUSE_AFTER_MS
-        if refusing or connection.has_client_departed or request.transport is None:
+        if refusing or exchange.has_client_departed:
             # If the connection ended before the request was handled, executing the request would be useless, as
             # nobody awaits its response.
-            return to_http_response(FinalResponse("refused"))
-        response_sink = HttpResponseSink(connection)
+            self._respond(exchange, self.refusal())
+            return
+        response_sink = HttpResponseSink(exchange, self._respond)
+        request_id = client_request.id
+        exchange.on_departure = lambda: self._post(ClientDisconnected(request_id, response_sink))
         self._post(RequestReceived(client_request, self._executor, response_sink))
-        try:
-            return to_http_response(await response_sink.final_response)
-        except asyncio.CancelledError:
-            self._post(ClientDisconnected(client_request.id, response_sink))
-            raise
-
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
-        """Return the body of a request whose head is valid. Raises BadRequestError."""
-        check_header_fields(request.raw_headers)
-        if (request.content_length or 0) > MAX_REQUEST_BODY_BYTES:
-            raise BadRequestError(413, "the body is too long")
-        if not request.body_exists:
-            return b""
-        # Report an invalid head before the body is read.
-        parse_client_request(request.method, request.raw_path, request.headers, b"", 0.0, self._settings)
-        if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
-            request.transport.write(CONTINUE_RESPONSE)  # the client may wait for this before it sends the body
-        return await self._receive_body(request)
-
-    async def _receive_body(self, request: web.BaseRequest) -> bytes:
-        """Return the body, and reject one beyond the limit before it fills the memory.
-
-        A client that sends its body too slowly is closed by the check for expired connections.
-        """
-        body = bytearray()
-        try:
-            async for chunk in request.content.iter_any():
-                body += chunk
-                if len(body) > MAX_REQUEST_BODY_BYTES:
-                    raise BadRequestError(413, "the body is too long")
-        except (web.RequestPayloadError, ConnectionError, ValueError) as error:
-            raise BadRequestError(400, f"reading the body failed: {error}") from None
-        return bytes(body)
+
+    def refusal(self) -> HttpResponse:
+        """Return the response to a request that is refused unread; see ``RequestHandler``."""
+        return to_http_response(FinalResponse("refused"))
+
+    def rejection(self, error: BadRequestError) -> HttpResponse:
+        """Return the response to a request that can't be served; see ``RequestHandler``."""
+        return self._server.rejection(error)
+
+    def _respond(self, exchange: Exchange, response: HttpResponse) -> None:
+        closing = (
+            self._has_stopped_accepting or self._is_draining or self._diverting_for_ms() >= DIVERT_CLOSE_AFTER_MS
+        )
+        # Input that the client has sent after the request must be answered too, before the connection is closed.
+        response.closes_connection = closing and not exchange.has_more_input
+        exchange.respond(response)
--- a/beechslip/platform/ops.py
+++ b/beechslip/platform/ops.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Mapping
+from urllib.parse import parse_qsl
 
 import orjson
-from aiohttp import web
 
 from beechslip.clock import Clock, ScheduledCall
 from beechslip.config import Address
 from beechslip.counters import Counters
+from beechslip.memory_budget import MemoryBudget, unlimited_budget
+from beechslip.platform.client_connection import Exchange
+from beechslip.platform.client_requests import BadRequestError
+from beechslip.platform.http_messages import HttpResponse, text_response
+from beechslip.platform.request_assembler import WholeRequest
+from beechslip.platform.request_head import RequestHead
 from beechslip.platform.server import BoundedServer
 from beechslip.platform.sockets import Listener, open_listening_socket
 
@@ -28,8 +35,12 @@
 OperatorCall = Callable[[Mapping[str, str]], Awaitable[tuple[int, str]]]
 
 
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
+
+
 class OpsFront:
-    """Owns the operators' address. Each connection serves one call."""
+    """Owns the operators' address. Each connection serves one call. Implements ``RequestHandler``."""
 
     def __init__(
         self,
@@ -40,6 +51,7 @@
         activate: OperatorAction,
         pages: Mapping[str, StatusPage] | None = None,
         calls: Mapping[str, OperatorCall] | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Create a front that does not listen yet. ``pages`` are served for GET and ``calls`` for POST, by path."""
         self._pages = pages or {}
@@ -51,14 +63,18 @@
         }
         self._clock = clock
         self._counters = counters
-        self._server = BoundedServer(self._handle_request, clock, counters, MAX_CONNECTIONS, REQUEST_READ_TIMEOUT_MS)
+        self._server = BoundedServer(
+            self, clock, counters, memory or unlimited_budget(counters), MAX_CONNECTIONS, REQUEST_READ_TIMEOUT_MS
+        )
+        self._call_tasks: set[asyncio.Task[None]] = set()
         self._listener: Listener | None = None
         self._expiry_alarm: ScheduledCall | None = None
         self.port = 0
 
     async def start(self, listen: Address) -> None:
         """Listen at the address. Raises OSError if it is not available."""
-        self._listener = Listener(await open_listening_socket(listen, LISTEN_BACKLOG), self._server, self._counters)
+        sock = await open_listening_socket(listen, LISTEN_BACKLOG)
+        self._listener = Listener(sock, self._server.create_connection, self._counters)
         self.port = self._listener.port
         self._close_expired_connections()
 
@@ -66,30 +82,56 @@
         self._server.close_expired()
         self._expiry_alarm = self._clock.call_later(EXPIRY_CHECK_INTERVAL_MS, self._close_expired_connections)
 
-    async def _handle_request(self, request: web.BaseRequest) -> web.StreamResponse:
-        status, text = await self._respond(request)
+    # Calls ----------------------------------------------------------------------------------------
+
+    def check_head(self, head: RequestHead) -> None:
+        """Accept a body with any call, and ignore it; see ``RequestHandler``."""
+
+    def refusal(self) -> HttpResponse:
+        """Return the response to a call that is refused unread; see ``RequestHandler``."""
+        return text_response(503, "no")
+
+    def rejection(self, error: BadRequestError) -> HttpResponse:
+        """Return the response to a call that can't be parsed; see ``RequestHandler``."""
+        return self._server.rejection(error)
+
+    def handle_request(self, request: WholeRequest, exchange: Exchange) -> None:
+        """Begin a call, and respond when it is done; see ``RequestHandler``."""
+        task = asyncio.get_running_loop().create_task(self._run_call(request.head(), exchange))
+        self._call_tasks.add(task)
+        task.add_done_callback(self._call_tasks.discard)
+        exchange.on_departure = lambda: _cancel(task)
+
+    async def _run_call(self, head: RequestHead, exchange: Exchange) -> None:
+        try:
+            status, text = await self._respond(head)
+        except Exception:
+            self._counters.add("fault.front")
+            log.exception("operator call failed: target=%.200s", head.target)
+            status, text = 500, "the call failed"
         self._counters.add(f"ops.{status}")
-        response = web.Response(status=status, text=text)
-        response.force_close()
-        return response
+        response = text_response(status, text)
+        response.closes_connection = True
+        exchange.respond(response)
 
-    async def _respond(self, request: web.BaseRequest) -> tuple[int, str]:
+    async def _respond(self, head: RequestHead) -> tuple[int, str]:
         """Return the status and text of the response."""
-        call = self._calls.get(request.path)
-        if call is not None and request.method == "POST":
-            status, text = await call(dict(request.query))
-            log.info("operator call: target=%s status=%d text=%s", request.rel_url, status, text)
+        path = head.path
+        call = self._calls.get(path)
+        if call is not None and head.method == "POST":
+            status, text = await call(dict(parse_qsl(head.query, keep_blank_values=True)))
+            log.info("operator call: target=%s status=%d text=%s", head.target, status, text)
             return status, text
-        page = self._pages.get(request.path)
-        if page is not None and request.method == "GET":
+        page = self._pages.get(path)
+        if page is not None and head.method == "GET":
             return 200, orjson.dumps(page()).decode()
-        action = self._actions.get((request.method, request.path))
+        action = self._actions.get((head.method, path))
         if action is not None:
             status, text = (200, "yes") if action() else (503, "no")
-            if request.method == "POST":
-                log.info("operator call: path=%s result=%s", request.path, text)
+            if head.method == "POST":
+                log.info("operator call: path=%s result=%s", path, text)
             return status, text
-        if page is not None or any(path == request.path for _, path in self._actions):
+        if page is not None or any(action_path == path for _, action_path in self._actions):
             return 405, "not a method of this call"
         return 404, "no such call"
 
--- a/beechslip/platform/responses.py
+++ b/beechslip/platform/responses.py
@@ -10,16 +10,16 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from beechslip.platform.chunked_body import ChunkedBodyDecoder, ChunkedBodyError
+
 MAX_HEAD_BYTES = 16_384  # a status line with its fields
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before the final one
-MAX_CHUNK_SIZE_LINE_BYTES = 64  # the line with a chunk's size
 HEAD_END = b"\r\n\r\n"
 LINE_END = b"\r\n"
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?\Z")
 _FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*\Z")
 _CONTENT_LENGTH = re.compile(rb"[0-9]{1,18}\Z")
-_CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t\x20-\x7e]*)?\Z")
 # These fields must not be repeated, because it would be ambiguous which value counts.
 _UNREPEATABLE_FIELDS = frozenset(
     {"content-length", "transfer-encoding", "x-digest", "x-stamp", "x-result", "x-declined"}
@@ -41,6 +41,15 @@
     is_connection_reusable: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """A status with its fields, whose names are in lower case. ``is_persistent``: the connection stays open."""
+
+    status: int
+    fields: dict[str, str]
+    is_persistent: bool
+
+
 class _ParserState(Enum):
     """What the parser reads next."""
 
@@ -65,9 +74,9 @@
         self._fields = dict[str, str]()
         self._is_persistent = True
         self._body_size = 0  # set in state SIZED_BODY
-        self._body = bytearray()
+        self._chunks: ChunkedBodyDecoder | None = None  # set in state CHUNKED_BODY
 
-    def feed(self, data: bytes) -> BackendResponse | None:
+    def feed(self, data: bytes | memoryview) -> BackendResponse | None:
         """Add received bytes. Return the response once it is complete. Raises UnusableResponseError."""
         self._buffer += data
         while self._state is _ParserState.HEAD:
@@ -75,19 +84,32 @@
             if head is None:
                 return None
             self._parse_head(head)
-        if self._state is _ParserState.CHUNKED_BODY:
-            return self._build_response() if self._parse_chunks() else None
+        if self._chunks is not None:
+            return self._parse_chunked_body(self._chunks)
         if len(self._buffer) < self._body_size:
             return None
-        self._body = self._buffer[: self._body_size]
+        with memoryview(self._buffer) as received, received[: self._body_size] as part:
+            body = bytes(part)
         del self._buffer[: self._body_size]
-        return self._build_response()
+        return self._build_response(body)
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that are kept of the response."""
+        return len(self._buffer) + (len(self._chunks.body) if self._chunks is not None else 0)
 
-    def _build_response(self) -> BackendResponse:
+    def _parse_chunked_body(self, chunks: ChunkedBodyDecoder) -> BackendResponse | None:
+        try:
+            chunks.decode(self._buffer, len(self._buffer))
+        except ChunkedBodyError as error:
+            raise UnusableResponseError(str(error)) from None
+        return self._build_response(bytes(chunks.body)) if chunks.is_complete else None
+
+    def _build_response(self, body: bytes) -> BackendResponse:
         return BackendResponse(
             self._status,
             self._fields,
-            bytes(self._body),
+            body,
             is_connection_reusable=self._is_persistent and not self._buffer,
         )
 
@@ -105,22 +127,17 @@
         del self._buffer[: end + len(HEAD_END)]
         return head
 
-    def _parse_head(self, head: bytes) -> None:
-        first, *lines = head.split(LINE_END)
-        match = _STATUS_LINE.match(first)
-        if match is None:
-            raise UnusableResponseError("the first line is not a status line")
-        fields = _parse_fields(lines)
-        status = int(match[2])
-        if status < 200:
+    def _parse_head(self, raw_head: bytes) -> None:
+        head = parse_response_head(raw_head)
+        if head.status < 200:
             self._interim_count += 1
-            if status == 101 or self._interim_count > MAX_INTERIM_RESPONSES:
+            if head.status == 101 or self._interim_count > MAX_INTERIM_RESPONSES:
                 raise UnusableResponseError("too many interim responses, or a switch of protocols")
             return
-        self._status = status
-        self._fields = fields
-        self._is_persistent = match[1] == b"1" and "close" not in fields.get("connection", "").lower()
-        self._parse_framing(status, fields)
+        self._status = head.status
+        self._fields = head.fields
+        self._is_persistent = head.is_persistent
+        self._parse_framing(head.status, head.fields)
 
     def _parse_framing(self, status: int, fields: dict[str, str]) -> None:
         """Determine where the body ends (RFC 9112, 6.3). Bodies that only end with the connection are rejected."""
@@ -132,6 +149,7 @@
                     "the end of the body is ambiguous: expected Transfer-Encoding 'chunked' alone"
                 )
             self._state = _ParserState.CHUNKED_BODY
+            self._chunks = ChunkedBodyDecoder(self._max_body)  # trailers are not supported
             return
         if length is not None and (
             not _CONTENT_LENGTH.match(length.encode("latin-1")) or int(length) > self._max_body
@@ -147,28 +165,16 @@
         else:
             self._is_persistent = False
 
-    def _parse_chunks(self) -> bool:
-        """Move complete chunks to the body. Return True if the last chunk was among them."""
-        while (end := self._buffer.find(LINE_END)) >= 0:
-            match = _CHUNK_SIZE_LINE.match(self._buffer[:end])
-            if match is None:
-                raise UnusableResponseError("invalid chunk size line")
-            size = int(match[1], 16)
-            if len(self._body) + size > self._max_body:
-                raise UnusableResponseError("the body is too long")
-            begin = end + len(LINE_END)
-            chunk_end = begin + size + len(LINE_END)
-            if len(self._buffer) < chunk_end:
-                return False
-            if self._buffer[begin + size : chunk_end] != LINE_END:
-                raise UnusableResponseError("a chunk does not end where its size says")
-            self._body += self._buffer[begin : begin + size]
-            del self._buffer[:chunk_end]
-            if not size:  # trailers are not supported; they count as bytes after the response
-                return True
-        if len(self._buffer) > MAX_CHUNK_SIZE_LINE_BYTES:
-            raise UnusableResponseError("the chunk size line is too long")
-        return False
+
+def parse_response_head(raw_head: bytes) -> ResponseHead:
+    """Parse a status line with its fields, without the empty line at their end. Raises UnusableResponseError."""
+    first, *lines = raw_head.split(LINE_END)
+    match = _STATUS_LINE.match(first)
+    if match is None:
+        raise UnusableResponseError("the first line is not a status line")
+    fields = _parse_fields(lines)
+    is_persistent = match[1] == b"1" and "close" not in fields.get("connection", "").lower()
+    return ResponseHead(int(match[2]), fields, is_persistent)
 
 
 def _parse_fields(lines: list[bytes]) -> dict[str, str]:
--- a/beechslip/platform/server.py
+++ b/beechslip/platform/server.py
@@ -1,19 +1,20 @@
-"""aiohttp's low-level HTTP server, with a bound and time limits on its connections."""
+"""The HTTP server: owns the connections that were accepted, their bound and their time limits."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import math
-from collections.abc import Awaitable, Callable
-from typing import Any
-
-from aiohttp import web
+from collections.abc import Callable
 
 from beechslip.clock import Clock
 from beechslip.counters import Counters
-from beechslip.platform.client_connection import ClientConnection
+from beechslip.memory_budget import MemoryBudget
+from beechslip.platform.client_connection import ClientConnection, RequestHandler
 from beechslip.platform.client_requests import BadRequestError
+from beechslip.platform.fair_turns import FairTurns
+from beechslip.platform.http_messages import HttpResponse
 from beechslip.platform.sockets import RetryingSocket
 
 log = logging.getLogger("beechslip.front")
@@ -23,30 +24,33 @@
 # be closed within 6 s.
 REQUEST_READ_TIMEOUT_MS = 2_200.0
 IDLE_TIMEOUT_MS = 5_000.0  # after a response; clients close after 4 s, but some never close
+LINGER_TIMEOUT_MS = 500.0  # after the last response, for what the client was still sending
 LOOP_CHECK_INTERVAL_MS = 25.0  # interval at which the event loop records that it runs
 STALL_THRESHOLD_MS = 25.0  # a record that is late by more than this indicates a stall
 AFTER_STALL_WINDOW_MS = 20.0  # within this time after a stall, everything that waited is read
-# aiohttp's own timer, in seconds. It is not needed here, because ``close_expired`` closes idle connections.
-AIOHTTP_KEEPALIVE_S = 86_400.0
+READ_BUFFER_BYTES = 16_384  # also the most that is read from a connection in one step of the event loop
 MAX_LOG_LINES_PER_S = 10  # log lines about bad requests; in a flood, each would cost CPU that other requests need
 
 
-class BoundedServer(web.Server):
-    """aiohttp's low-level server. Owns the clients' connections, their bound and their time limits."""
+class BoundedServer:
+    """Owns the connections of one listening socket, their bound and their time limits."""
 
     def __init__(
         self,
-        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        handler: RequestHandler,
         clock: Clock,
         counters: Counters,
+        memory: MemoryBudget,
         max_connections: int,
         request_read_timeout_ms: float = REQUEST_READ_TIMEOUT_MS,
     ) -> None:
         """Create a server for ``handler``. A client may take ``request_read_timeout_ms`` to send a request."""
-        # When a client leaves, aiohttp cancels its handler, which releases its attempt.
-        super().__init__(handler, handler_cancellation=True)
+        self.handler = handler
         self.clock = clock
         self.counters = counters
+        self.memory = memory
+        self.turns = FairTurns(_call_soon)
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self._max_connections = max_connections
         self._request_read_timeout_ms = request_read_timeout_ms
         self._open_connections: dict[ClientConnection, None] = {}  # ordered by state_since_ms, oldest first
@@ -59,21 +63,9 @@
         self._stall_began_ms = 0.0  # the last record before the latest stall
         self._stall_ended_ms = -math.inf
 
-    def __call__(self, sock: RetryingSocket | None = None) -> web.RequestHandler:
+    def create_connection(self, sock: RetryingSocket) -> ClientConnection:
         """Return the protocol of a new connection on ``sock``."""
-        # aiohttp disables its access log for None, although its annotation does not allow None. Lingering would keep
-        # reading for 10 s from a client that is rejected while it sends 60 MB.
-        return ClientConnection(
-            self,
-            loop=self._loop,
-            access_log=None,  # type: ignore[arg-type]
-            keepalive_timeout=AIOHTTP_KEEPALIVE_S,
-            lingering_time=0.0,
-        ).attach_to_server(self, sock)
-
-    def _make_request(self, message: Any, payload: Any, protocol: Any, *how: Any) -> web.BaseRequest:
-        protocol.begin_request(payload)
-        return super()._make_request(message, payload, protocol, *how)
+        return ClientConnection(self, sock)
 
     def record_loop_run(self) -> None:
         """Record that the event loop runs. This must be called every LOOP_CHECK_INTERVAL_MS.
@@ -139,18 +131,29 @@
 
     def close_expired(self) -> None:
         """Close connections that have been idle, silent or partway through a request for too long."""
-        now = self.clock.now_ms()
+        now_ms = self.clock.now_ms()
         for connection in list(self._open_connections):
             # A client that does not read its response will not read the responses to the requests that it sent after
             # it either.
-            unread = connection.has_unsent_bytes and not connection.is_handling_request
-            if connection.has_pending_request and not unread:
+            is_unread = connection.has_unsent_bytes and not connection.is_handling_request
+            if connection.has_pending_request and not is_unread:
                 continue
-            partial = connection.is_awaiting_request and not unread
-            if now - connection.state_since_ms > (self._request_read_timeout_ms if partial else IDLE_TIMEOUT_MS):
-                self._close_connection(connection, "closed.partial" if partial else "closed.idle")
+            self._close_if_expired(connection, now_ms - connection.state_since_ms, is_unread=is_unread)
         self._progress_event.set()
 
+    def _close_if_expired(self, connection: ClientConnection, age_ms: float, *, is_unread: bool) -> None:
+        is_partial = connection.is_awaiting_request and not is_unread
+        if connection.is_lingering and not is_unread:
+            if age_ms > LINGER_TIMEOUT_MS:
+                self._close_connection(connection, "closed.lingering")
+        elif is_partial and age_ms > self._request_read_timeout_ms:
+            if connection.is_held_up:
+                connection.end_partial_request()
+            else:
+                self._close_connection(connection, "closed.partial")
+        elif not is_partial and age_ms > IDLE_TIMEOUT_MS:
+            self._close_connection(connection, "closed.idle")
+
     def close_idle(self, *, unfinished: bool = False) -> None:
         """Close idle connections.
 
@@ -183,7 +186,15 @@
         self._closing_connections.add(connection)
         connection.force_close()
 
-    def reject_request(self, error: BadRequestError) -> web.Response:
+    async def shutdown(self, timeout_s: float) -> None:
+        """Close all connections. Pending requests get up to ``timeout_s`` for their responses."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.wait_while_any(lambda connection: connection.has_pending_request)
+        for connection in list(self._open_connections):
+            self._close_connection(connection, "closed.shutdown", flush=True)
+
+    def rejection(self, error: BadRequestError) -> HttpResponse:
         """Return the response to a request that can't be served.
 
         Each one is counted. At most MAX_LOG_LINES_PER_S are logged per second.
@@ -196,6 +207,8 @@
         self._logged_in_window += 1
         if self._logged_in_window <= MAX_LOG_LINES_PER_S:
             log.info("bad request: reason=%.200s", error.reason.replace("\n", " "))
-        response = web.Response(status=error.status)
-        response.force_close()
-        return response
+        return HttpResponse(error.status, closes_connection=True)
+
+
+def _call_soon(call: Callable[[], None]) -> object:
+    return asyncio.get_running_loop().call_soon(call)
--- a/beechslip/platform/sockets.py
+++ b/beechslip/platform/sockets.py
@@ -50,10 +50,21 @@
         try:
             return super().recv(size, flags)
         except OSError as error:
-            mapped = _as_would_block(error)
-            if mapped is not error and self.unread_since is None:
-                self.unread_since = time.monotonic()
-            raise mapped from None
+            raise self._note_failed_read(error) from None
+
+    def recv_into(self, buffer: Any, size: int = 0, flags: int = 0, /) -> int:
+        """Receive as ``socket.socket.recv_into`` does, but raise BlockingIOError also if the kernel lacks memory."""
+        try:
+            return super().recv_into(buffer, size, flags)
+        except OSError as error:
+            raise self._note_failed_read(error) from None
+
+    def _note_failed_read(self, error: OSError) -> OSError:
+        """Return the error to raise. If it is temporary, the bytes that wait here have waited from now on."""
+        mapped = _as_would_block(error)
+        if mapped is not error and self.unread_since is None:
+            self.unread_since = time.monotonic()
+        return mapped
 
 
 def _as_would_block(error: OSError) -> OSError:
--- a/beechslip/process.py
+++ b/beechslip/process.py
@@ -14,6 +14,7 @@
 from typing import TypeVar
 
 from beechslip.config import Config, ConfigError, ConfigUnreadableError, log_level, read_config
+from beechslip.platform.process_memory import return_freed_memory
 from beechslip.platform.sockets import LOCAL_RESOURCE_ERRORS
 from beechslip.proxy import Proxy
 
@@ -67,7 +68,7 @@
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, proxy.stopping.set)
     loop.add_signal_handler(signal.SIGHUP, proxy.reload)
-    loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("%s", proxy.counters.format_line()))
+    loop.add_signal_handler(signal.SIGUSR1, proxy.log_counters)
     # __main__ blocked these while the program was loading. A signal that arrived since then is handled now.
     signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP, signal.SIGUSR1])
 
@@ -101,6 +102,7 @@
     except ConfigError as error:
         log.error("configuration error: %s", error)
         return EXIT_CONFIG_ERROR
+    return_freed_memory()
     gc.set_threshold(*GC_THRESHOLD)
     gc.freeze()  # excludes the objects that were loaded at the start from garbage collection
     with contextlib.suppress(KeyboardInterrupt):
--- a/beechslip/proxy.py
+++ b/beechslip/proxy.py
@@ -11,16 +11,18 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from beechslip.clock import Clock, SystemClock
+from beechslip.clock import Clock, ScheduledCall, SystemClock
 from beechslip.config import RECORD_FILE, Config, ConfigError, read_if_enabled
 from beechslip.core.engine import Engine
 from beechslip.core.messages import EndpointListUpdate, PurgeReceived, SettingsChanged
 from beechslip.counters import Counters
 from beechslip.fleet.settings import read_fleet, refuse_old_settings_file
+from beechslip.memory_budget import MemoryBudget
 from beechslip.platform.backends import BackendClient
 from beechslip.platform.changelog import ChangeLogReader
 from beechslip.platform.front import HttpFront
 from beechslip.platform.ops import OpsFront
+from beechslip.platform.process_memory import HeapTrimmer, resident_bytes
 from beechslip.platform.watch_events import parse_known_events
 from beechslip.reload import ConfigReloader, fleet_file_path
 from beechslip.routing import Router
@@ -35,6 +37,8 @@
 
 log = logging.getLogger("beechslip")
 
+MEMORY_CHECK_INTERVAL_MS = 250.0  # interval between checks for holders that keep a full room from others
+
 
 @dataclass(frozen=True, slots=True)
 class InitialUpdates:
@@ -65,13 +69,23 @@
         self.config = config  # as read at the start; the reloader holds the current one
         self.clock = clock or SystemClock()
         self.counters = Counters()
+        floor_bytes = resident_bytes()
+        max_connections = config.max_sockets * 7 // 8  # a half for clients and three eighths to backends
+        self.memory = MemoryBudget(config.memory_mb, floor_bytes, max_connections, self.counters)
+        self._heap_trimmer = HeapTrimmer(floor_bytes)
         self.stopping = asyncio.Event()
+        self._memory_alarm: ScheduledCall | None = None
         self._reloader = ConfigReloader(config, self.clock, self.counters)
 
     def reload(self, environ: Mapping[str, str] | None = None) -> None:
         """Read the configuration file again; see ``ConfigReloader.reload``."""
         self._reloader.reload(environ)
 
+    def log_counters(self) -> None:
+        """Log what the parts of the memory budget hold, and the counters."""
+        log.info("memory resident_kb=%d %s", resident_bytes() >> 10, self.memory.describe())
+        log.info("%s", self.counters.format_line())
+
     async def run(self) -> None:
         """Serve until ``stopping`` is set, then shut down. Raises ConfigError if a configuration file is invalid.
 
@@ -93,7 +107,7 @@
     def _build_parts(self) -> ProxyParts:
         config = self.config
         settings = config.settings
-        client = BackendClient(settings, config.max_sockets, self.clock, self.counters)
+        client = BackendClient(settings, config.max_sockets, self.clock, self.counters, self.memory)
         sent_request_log = self._open_sent_request_log()
         refuse_old_settings_file(os.environ)
 
@@ -111,7 +125,7 @@
             None if peering is None else peering.regions,
             sent_request_log,
         )
-        front = HttpFront(settings, self.clock, client, engine.post, self.counters, config.max_sockets)
+        front = HttpFront(settings, self.clock, client, engine.post, self.counters, config.max_sockets, self.memory)
         ops = self._build_ops(front, peering)
         dns = self._build_dns(engine, front)
         return ProxyParts(client, engine, front, ops, dns, peering, sent_request_log)
@@ -149,7 +163,14 @@
             operator_pages |= peering.operator_pages()
         operator_commands = None if peering is None else peering.operator_commands()
         return OpsFront(
-            self.clock, self.counters, lambda: front.ready, drain, activate, operator_pages, operator_commands
+            self.clock,
+            self.counters,
+            lambda: front.ready,
+            drain,
+            activate,
+            operator_pages,
+            operator_commands,
+            self.memory,
         )
 
     def _build_dns(self, engine: Engine, front: HttpFront) -> DnsFront | None:
@@ -203,7 +224,8 @@
 
         The stack calls the last entry first, so that the fronts close before the parts that they use.
         """
-        stack.callback(lambda: log.info("%s", self.counters.format_line()))
+        stack.callback(self.log_counters)
+        stack.callback(self._stop_relieving_memory)
         if parts.sent_request_log is not None:
             stack.callback(parts.sent_request_log.close)
         stack.push_async_callback(parts.client.close)
@@ -237,7 +259,12 @@
         assert address is not None
         drain_grace_s = self._reloader.settings.drain_grace
         change_log = ChangeLogReader(
-            address, initial_updates.last_seq, engine.post, self.counters, initial_updates.updates, drain_grace_s
+            address,
+            initial_updates.last_seq,
+            engine.post,
+            self.counters,
+            initial_updates.updates,
+            drain_grace_s,
         )
         self._reloader.change_log = change_log
         self._reloader.listeners.append(change_log.retune)
@@ -258,6 +285,16 @@
             return False
         return True
 
+    def _stop_relieving_memory(self) -> None:
+        if self._memory_alarm is not None:
+            self._memory_alarm.cancel()
+
+    def _relieve_memory(self) -> None:
+        now_ms = self.clock.now_ms()
+        self.memory.relieve(now_ms)
+        self._heap_trimmer.trim_if_due(now_ms)
+        self._memory_alarm = self.clock.call_later(MEMORY_CHECK_INTERVAL_MS, self._relieve_memory)
+
     async def _serve(self, parts: ProxyParts, tasks: Sequence[asyncio.Task[None]]) -> None:
         """Serve clients until the proxy is to stop, then shut down gracefully."""
         config, engine, front = self.config, parts.engine, parts.front
@@ -265,6 +302,7 @@
         if parts.peering is not None and parts.peering.budgets is not None:
             await parts.peering.budgets.ready()
         await front.start(config.listen, config.listening_fd)
+        self._relieve_memory()
         log.info(
             "%s, process %d, listens on %s; %d proxies, longest deadline %g s",
             config.name,
--- a/lab/faults/sitecustomize.py
+++ b/lab/faults/sitecustomize.py
@@ -60,6 +60,7 @@
 _original_gettime = time.clock_gettime
 _original_socket_init = socket.socket.__init__
 _original_recv = socket.socket.recv
+_original_recv_into = socket.socket.recv_into
 _original_send = socket.socket.send
 _original_sock_connect = asyncio.selector_events.BaseSelectorEventLoop.sock_connect
 
@@ -76,6 +77,13 @@
     return _original_recv(sock, min(size, _faults.get("short", size)), *flags)
 
 
+def _short_recv_into(sock: Any, buffer: Any, size: int = 0, *flags: int) -> int:
+    if sock.family == socket.AF_INET:
+        _raise_if_failing("recv")
+    size = size or len(buffer)
+    return _original_recv_into(sock, buffer, min(size, _faults.get("short", size)), *flags)
+
+
 def _short_send(sock: Any, data: Any, *flags: int) -> int:
     if sock.family == socket.AF_INET:
         _raise_if_failing("send")
@@ -98,6 +106,7 @@
     socket_class.connect = _with_failures("connect", socket.socket.connect)
     socket_class.__init__ = _failing_socket
     socket_class.recv = _short_recv
+    socket_class.recv_into = _short_recv_into
     socket_class.send = _short_send
     loop_class: Any = asyncio.selector_events.BaseSelectorEventLoop
     loop_class.sock_connect = _slow_sock_connect
