--- a/beechslip/memory_budget.py
+++ b/beechslip/memory_budget.py
@@ -64,6 +64,11 @@
         if amount != self.amount:
             self._room.change(self, amount, now_ms)
 
+    def close(self, now_ms: float) -> None:
+        """Give up the bytes and the reference to the holder, which is gone."""
+        self.set(0, now_ms)
+        self.end = None
+
 
 class MemoryRoom:
     """A part of the memory budget. Its limit may be exceeded by what has been read already."""
--- a/beechslip/platform/backends.py
+++ b/beechslip/platform/backends.py
@@ -108,7 +108,9 @@
             cancelled = isinstance(error, asyncio.CancelledError)
             if not cancelled or response.cancelled() or response.exception() is not None:
                 connection.abort()
-                return self._failure_result(backend, error)
+                if isinstance(error, (ConnectionLostError, UnusableResponseError)):
+                    return self._failure_result(backend, error)
+                raise
             received = response.result()  # cancelled at the same moment at which the response was completed
         repeated = self._is_repeat(connection, message, received)
         self._pool.release(connection)
@@ -150,18 +152,13 @@
                 connection.abort()
                 raise
 
-    def _failure_result(self, backend: Backend, error: BaseException) -> AttemptResult:
-        """Return the result of an attempt whose response failed with ``error``.
-
-        An error that is not a failure of a response is raised again.
-        """
+    def _failure_result(self, backend: Backend, error: ConnectionLostError | UnusableResponseError) -> AttemptResult:
+        """Return the result of an attempt whose response failed with ``error``."""
         if isinstance(error, ConnectionLostError):
             return AttemptResult("reset")
-        if isinstance(error, UnusableResponseError):
-            self._counters.add("depot.spoilt")
-            log.debug("unusable response: backend=%s error=%s", backend.name, error)
-            return AttemptResult("spoilt")
-        raise error
+        self._counters.add("depot.spoilt")
+        log.debug("unusable response: backend=%s error=%s", backend.name, error)
+        return AttemptResult("spoilt")
 
     def _is_repeat(self, connection: BackendConnection, message: bytes, received: ReceivedResponse) -> bool:
         """True if the response repeats the connection's previous response, which was for another target.
--- a/beechslip/platform/client_connection.py
+++ b/beechslip/platform/client_connection.py
@@ -308,9 +308,8 @@
         self._client_departed()
         self._owner.memory.requests.cancel_wait(self._room_is_free)
         now_ms = self._owner.clock.now_ms()
-        self._partial_charge.set(0, now_ms)
-        self._whole_charge.set(0, now_ms)
-        self._unsent_charge.set(0, now_ms)
+        for charge in (self._partial_charge, self._whole_charge, self._unsent_charge):
+            charge.close(now_ms)
         self._owner.connection_closed(self)
 
     # Receiving requests ---------------------------------------------------------------------------
--- a/beechslip/platform/connection.py
+++ b/beechslip/platform/connection.py
@@ -177,7 +177,8 @@
             return
         self._charge.set(0, self._clock.now_ms())
         self._parser = None
-        self._response_waiter.set_result(ReceivedResponse(response, self._clock.now_ms()))
+        response_waiter, self._response_waiter = self._response_waiter, None  # an idle connection keeps no response
+        response_waiter.set_result(ReceivedResponse(response, self._clock.now_ms()))
         if not response.is_connection_reusable:
             self.abort()
 
@@ -206,6 +207,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the pending request, if any, and report the connection as closed."""
         self._release_memory()
+        self._charge.close(self._clock.now_ms())
         if self._response_waiter is not None and not self._response_waiter.done():
             self._response_waiter.set_exception(ConnectionLostError(str(exc or "connection closed")))
         self._transport = None
