--- a/beechslip/platform/changelog.py
+++ b/beechslip/platform/changelog.py
@@ -8,16 +8,18 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 
-import aiohttp
-
 from beechslip.config import Address
 from beechslip.core.messages import EndpointListUpdate, PurgeReceived
 from beechslip.core.model import Backend
 from beechslip.counters import Counters
+from beechslip.memory_budget import MemoryBudget, MemoryCharge, unlimited_budget
 from beechslip.platform import watch_calls
 from beechslip.platform.endpoint_list import ReadyBackendNames
+from beechslip.platform.event_stream import EventStream, open_event_stream
+from beechslip.platform.responses import UnusableResponseError
 from beechslip.platform.watch_calls import OnBytes, WatchCalls
 from beechslip.platform.watch_events import (
+    MAX_EVENT_SIZE,
     BadEventError,
     ChangeLogUpdate,
     EventStreamParser,
@@ -49,11 +51,14 @@
         counters: Counters,
         known: Iterable[ChangeLogUpdate] = (),
         drain_grace_s: float = 0.0,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Create a reader. ``last_seq`` is the sequence number reached by the updates ``known``.
 
-        ``drain_grace_s`` is the number of seconds after which a drain is binding; 0 selects the default.
+        ``drain_grace_s`` is the number of seconds after which a drain is binding; 0 selects the default. Events
+        larger than the room ``events`` of ``memory`` are unreadable.
         """
+        self._room = (memory or unlimited_budget(counters)).events
         self.last_seq = last_seq
         self.drain_grace_s = drain_grace_s
         self._address = address
@@ -92,26 +97,14 @@
                 self._doubtful_list_timer.cancel()
 
     async def _watch_until_cancelled(self) -> None:
-        async def handle_connected(*_: object) -> None:
-            calls.connected()
-
-        trace_config = aiohttp.TraceConfig()
-        trace_config.on_connection_create_end.append(handle_connected)
-        async with aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=None),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            trust_env=False,
-            auto_decompress=False,
-            trace_configs=[trace_config],
-        ) as session:
-            calls = WatchCalls(
-                lambda on_bytes: self._watch_once(session, on_bytes), self._count_call, self._handle_failure
-            )
-            while True:
-                self._address_changed.clear()
-                # A log that has moved sends nothing more at its old address, but keeps its connections there open
-                # for a while.
-                await calls.run_until(self._address_changed)
+        calls = WatchCalls(
+            lambda on_bytes: self._watch_once(calls.connected, on_bytes), self._count_call, self._handle_failure
+        )
+        while True:
+            self._address_changed.clear()
+            # A log that has moved sends nothing more at its old address, but keeps its connections there open for a
+            # while.
+            await calls.run_until(self._address_changed)
 
     def _count_call(self) -> None:
         """Count each call but the first."""
@@ -120,36 +113,43 @@
         self._has_called = True
 
     def _handle_failure(self, error: BaseException) -> None:
-        if isinstance(error, (aiohttp.ClientError, OSError, TimeoutError, BadEventError)):
+        if isinstance(error, (OSError, TimeoutError, UnusableResponseError, BadEventError)):
             log.info("change log connection failed: error=%r", error)
             return
         # An unexpected response must not end the proxy.
         self._counters.add("fault.changelog")
         log.error("change log connection failed unexpectedly", exc_info=error)
 
-    async def _watch_once(self, session: aiohttp.ClientSession, on_bytes: OnBytes) -> None:
+    async def _watch_once(self, on_connected: Callable[[], None], on_bytes: OnBytes) -> None:
         """Make one call and handle its events until the stream ends, fails or is silent for too long."""
-        parser = EventStreamParser()
-        headers = {"Last-Event-ID": str(self.last_seq), "Accept": "text/event-stream"}
-        url = f"http://{self._address}/changes"
-        async with (
-            asyncio.timeout(watch_calls.CALL_TIMEOUT_S) as timeout,
-            session.get(url, headers=headers, allow_redirects=False) as response,
-        ):
-            if response.status != 200:
-                raise BadEventError(f"unexpected status {response.status} of the change log: expected 200")
-            try:
-                async for chunk in response.content.iter_any():
-                    timeout.reschedule(asyncio.get_running_loop().time() + watch_calls.CALL_TIMEOUT_S)
-                    on_bytes()
-                    for event in parser.feed(chunk):
-                        self._handle_event(event)
-            except asyncio.CancelledError:
-                # Events received before the address changed count as notified.
-                with contextlib.suppress(Exception):
-                    for event in parser.feed(response.content.read_nowait()):
-                        self._handle_event(event)
-                raise
+        parser = EventStreamParser(min(MAX_EVENT_SIZE, self._room.limit_bytes))
+        charge = MemoryCharge(self._room)
+        try:
+            async with asyncio.timeout(watch_calls.CALL_TIMEOUT_S) as timeout:
+                stream = await open_event_stream(self._address, self.last_seq, watch_calls.CALL_TIMEOUT_S)
+                on_connected()
+                try:
+                    async for chunk in stream.chunks():
+                        timeout.reschedule(asyncio.get_running_loop().time() + watch_calls.CALL_TIMEOUT_S)
+                        on_bytes()
+                        self._handle_chunk(parser, chunk)
+                        charge.set(parser.held_bytes, 0.0)
+                except asyncio.CancelledError:
+                    self._handle_rest(parser, stream)
+                    raise
+                finally:
+                    stream.close()
+        finally:
+            charge.set(0, 0.0)
+
+    def _handle_chunk(self, parser: EventStreamParser, chunk: bytes) -> None:
+        for event in parser.feed(chunk):
+            self._handle_event(event)
+
+    def _handle_rest(self, parser: EventStreamParser, stream: EventStream) -> None:
+        """Handle what has been received already: events received before the address changed count as notified."""
+        with contextlib.suppress(Exception):
+            self._handle_chunk(parser, stream.take_received())
 
     def _handle_event(self, received: ServerSentEvent) -> None:
         """Apply a received event. An unreadable one is requested again once, then skipped.
--- a/beechslip/platform/watch_events.py
+++ b/beechslip/platform/watch_events.py
@@ -57,10 +57,14 @@
     Comments yield no event but are counted in ``comments``.
     """
 
-    def __init__(self) -> None:
-        """Create a parser for one stream, from its first byte on."""
+    def __init__(self, max_event_size: int | None = None) -> None:
+        """Create a parser for one stream, from its first byte on.
+
+        ``max_event_size`` is the most bytes of a line, and characters of an event's data; MAX_EVENT_SIZE by default.
+        """
         self.comments = 0
-        self._partial_line = b""  # the last line, which is still incomplete
+        self._max_event_size = MAX_EVENT_SIZE if max_event_size is None else max_event_size
+        self._partial_line = bytearray()  # the last line, which is still incomplete
         self._id = ""
         self._data = list[str]()
         self._data_size = 0  # characters of the current event's data
@@ -68,15 +72,20 @@
         self._is_after_cr = False
 
     def feed(self, chunk: bytes) -> list[ServerSentEvent]:
-        """Return the events that these bytes complete. Raises BadEventError if one exceeds MAX_EVENT_SIZE."""
+        """Return the events that these bytes complete. Raises BadEventError if one is too large."""
         if not chunk:
             return []
         if self._is_after_cr and chunk.startswith(b"\n"):  # the second half of a line end
             chunk = chunk[1:]
         self._is_after_cr = chunk.endswith(b"\r")
-        *lines, self._partial_line = _LINE_END.split(self._partial_line + chunk)
-        if len(self._partial_line) > MAX_EVENT_SIZE:
+        first, *others = _LINE_END.split(chunk)
+        self._partial_line += first
+        if len(self._partial_line) > self._max_event_size:
             raise BadEventError("a line of the event stream is too long")
+        if not others:
+            return []
+        lines = [bytes(self._partial_line), *others[:-1]]
+        self._partial_line = bytearray(others[-1])
         events = []
         for line in lines:
             event = self._read_line(line)
@@ -84,6 +93,11 @@
                 events.append(event)
         return events
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that are kept of the current event."""
+        return len(self._partial_line) + self._data_size
+
     def _read_line(self, raw: bytes) -> ServerSentEvent | None:
         """Return the event that the line completes, or ``None``."""
         if self._is_at_start:
@@ -100,7 +114,7 @@
             self._id = value
         elif name == "data":
             self._data_size += len(value)
-            if self._data_size > MAX_EVENT_SIZE:
+            if self._data_size > self._max_event_size:
                 raise BadEventError("the data of an event is too long")
             self._data.append(value)
         return None
--- a/beechslip/proxy.py
+++ b/beechslip/proxy.py
@@ -265,6 +265,7 @@
             self.counters,
             initial_updates.updates,
             drain_grace_s,
+            self.memory,
         )
         self._reloader.change_log = change_log
         self._reloader.listeners.append(change_log.retune)
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -153,13 +153,14 @@
     connections: Annotated[int, typer.Option(min=1, max=900)] = 500,
     seconds: Annotated[float, typer.Option(min=0.5, max=600.0)] = 7.0,
     seed: Annotated[int, typer.Option(min=0)] = 1,
+    open_requests: Annotated[int, typer.Option(min=1, help="The settings' limit of open requests.")] = 100,
 ) -> None:
     """Play hostile clients against one real proxy, and print its memory and what sound clients got."""
     from lab import hostile_clients, hostile_play
 
     for play in plays or [*hostile_clients.KINDS, hostile_clients.MIXED]:
         with tempfile.TemporaryDirectory() as folder:
-            found = hostile_play.run_play(Path(folder), play, memory, connections, seconds, seed)
+            found = hostile_play.run_play(Path(folder), play, memory, connections, seconds, seed, open_requests)
         console.print(
             f"{play}: memory idle {found.idle_mb:.0f}, peak {found.peak_mb:.0f}, "
             f"settled {found.settled_mb:.0f} MB of {memory}; alive {found.is_alive}; "
--- a/lab/hostile_play.py
+++ b/lab/hostile_play.py
@@ -5,12 +5,12 @@
 import asyncio
 import contextlib
 import copy
-import hashlib
 import json
 import os
 import resource
 import sys
 import time
+from asyncio.subprocess import PIPE
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -18,44 +18,20 @@
 from lab.hostile_clients import get_request
 from lab.ports import free_port
 from lab.processes import ROOT
-from lab.stand import SETTINGS, FakeBackend, FakeChangeLog, endpoint_entry, fetch, listening, read_message
-from lab.stream_server import serving
+from lab.stand import SETTINGS, fetch, read_message
 
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 BYTES_PER_MB = 1 << 20
 DESCRIPTORS = 1_024
-LARGE_OBJECT_BYTES = 200_000
-HELD_OBJECT_BYTES = 239_000
-SMALL_OBJECT = b"waves"
 ASKING_CLIENTS = 4  # sound clients beside the hostile ones
 ASKING_INTERVAL_S = 0.1
 ANSWER_TIMEOUT_S = 2.0
 SAMPLE_INTERVAL_S = 0.02
+MAX_OPEN_REQUESTS = 100  # of the settings; further ones are refused
 SETTLING_S = 4.0  # from the last hostile client's end until the memory has to be given back
 START_TIMEOUT_S = 20.0
 
 
-class SizedBackend(FakeBackend):
-    """A backend with objects whose size the first part of their name tells, each with a digest of its own."""
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Respond to the requests of one connection; the last byte of a ``held`` object is never sent."""
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            while True:
-                request_line, _, _ = await read_message(reader)
-                target = request_line.split()[1]
-                kind = target.split("/")[-2].split("-")[0] if target.startswith("/data/") else ""
-                body = {"large": bytes(LARGE_OBJECT_BYTES), "held": bytes(HELD_OBJECT_BYTES)}.get(kind, SMALL_OBJECT)
-                digest = hashlib.sha256(target.encode()).hexdigest()[:16]
-                writer.write(
-                    f"HTTP/1.1 200 OK\r\nX-Digest: {digest}\r\nX-Stamp: 1764576000000\r\nX-Result: local\r\n"
-                    f"X-Stats: inflight:7;util:0.61\r\nContent-Length: {len(body)}\r\n\r\n".encode()
-                )
-                writer.write(body[:-1] if kind == "held" else body)
-                await writer.drain()
-        writer.close()
-
-
 @dataclass
 class PlayResult:
     """What a play has shown. Memory is resident memory of the process, in MB."""
@@ -135,7 +111,14 @@
     """One play: a proxy with a memory limit, hostile clients of one kind, and a few sound clients."""
 
     def __init__(
-        self, folder: Path, play: str, memory_mb: int, connections: int = 500, seconds: float = 7.0, seed: int = 1
+        self,
+        folder: Path,
+        play: str,
+        memory_mb: int,
+        connections: int = 500,
+        seconds: float = 7.0,
+        seed: int = 1,
+        max_open_requests: int = MAX_OPEN_REQUESTS,
     ) -> None:
         """Prepare a play; ``folder`` takes its files."""
         self.folder = folder
@@ -144,51 +127,33 @@
         self.connections = connections
         self.seconds = seconds
         self.seed = seed
+        self.max_open_requests = max_open_requests
         self.port = free_port()
         self.result = PlayResult()
-        self.backends = [
-            SizedBackend("a"),
-            SizedBackend("b"),
-            SizedBackend("hub", kind="parent", zone="north"),
-            SizedBackend("archive", kind="origin", zone="north"),
-        ]
 
     async def run(self) -> PlayResult:
         """Start the proxy, play, and end the proxy."""
-        change_log = FakeChangeLog()
-        async with serving(change_log.serve) as log_server, listening(*self.backends):
-            self._write_config(log_server.address)
-            with (self.folder / "log").open("wb") as log:
-                process = await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    "-m",
-                    "beechslip",
-                    cwd=ROOT,
-                    env=os.environ | {"EDGE_CONFIG": str(self.folder / "config.json")},
-                    stderr=log,
-                )
+        async with contextlib.AsyncExitStack() as stack:
+            backends = await _start(stack, "lab.sized_backends", stdin=PIPE, stdout=PIPE)
+            assert backends.stdout is not None
+            self._write_config(json.loads(await backends.stdout.readline()))
+            log = stack.enter_context((self.folder / "log").open("wb"))
+            process = await _start(stack, "beechslip", stderr=log, EDGE_CONFIG=str(self.folder / "config.json"))
             resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
-            try:
-                await asyncio.wait_for(self._wait_until_ready(), START_TIMEOUT_S)
-                await self._play(process)
-            finally:
-                with contextlib.suppress(ProcessLookupError):
-                    process.kill()
-                await process.wait()
+            await asyncio.wait_for(self._wait_until_ready(), START_TIMEOUT_S)
+            await self._play(process)
         return self.result
 
-    def _write_config(self, change_log_address: str) -> None:
-        endpoints = [endpoint_entry(backend) for backend in self.backends]
+    def _write_config(self, backends_config: dict[str, Any]) -> None:
         settings: dict[str, Any] = copy.deepcopy(SETTINGS)
+        settings["caps"]["mostHeld"] = self.max_open_requests
         config = {
             "name": "n0",
             "listen": f"127.0.0.1:{self.port}",
             "seed": "1",
             "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": DESCRIPTORS},
-            "changelog": change_log_address,
             "settings": settings,
-            "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"snapshot": True, "endpoints": endpoints}}]},
-        }
+        } | backends_config
         (self.folder / "config.json").write_text(json.dumps(config))
 
     async def _wait_until_ready(self) -> None:
@@ -202,27 +167,14 @@
         await asyncio.sleep(0.5)
         self.result.idle_mb = resident_mb(process.pid)
         sampling = asyncio.create_task(self._sample(process.pid))
-        hostile = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "lab.hostile_clients",
-            self.play,
-            str(self.port),
-            f"--connections={self.connections}",
-            f"--seconds={self.seconds}",
-            f"--seed={self.seed}",
-            cwd=ROOT,
-        )
-        try:
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(sampling.cancel)
+            arguments = (f"--connections={self.connections}", f"--seconds={self.seconds}", f"--seed={self.seed}")
+            hostile = await _start(stack, "lab.hostile_clients", self.play, str(self.port), *arguments)
             until_s = time.monotonic() + self.seconds
             await asyncio.gather(*(SoundClient(self.port, self.result).run(until_s) for _ in range(ASKING_CLIENTS)))
             await hostile.wait()
             await asyncio.sleep(SETTLING_S)
-        finally:
-            sampling.cancel()
-            with contextlib.suppress(ProcessLookupError):
-                hostile.kill()
-            await hostile.wait()
         self.result.is_alive = process.returncode is None
         if self.result.is_alive:
             self.result.settled_mb = resident_mb(process.pid)
@@ -234,13 +186,50 @@
                 await asyncio.sleep(SAMPLE_INTERVAL_S)
 
 
+async def _start(
+    stack: contextlib.AsyncExitStack,
+    module: str,
+    *arguments: str,
+    stdin: Any = None,
+    stdout: Any = None,
+    stderr: Any = None,
+    **env: str,
+) -> asyncio.subprocess.Process:
+    """Start ``python -m MODULE ARGUMENTS``. It is killed when the stack is closed."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        module,
+        *arguments,
+        cwd=ROOT,
+        env=os.environ | env,
+        stdin=stdin,
+        stdout=stdout,
+        stderr=stderr,
+    )
+    stack.push_async_callback(_kill, process)
+    return process
+
+
+async def _kill(process: asyncio.subprocess.Process) -> None:
+    with contextlib.suppress(ProcessLookupError):
+        process.kill()
+    await process.wait()
+
+
 def resident_mb(pid: int) -> float:
     """Return the resident memory of a process in MB. Raises OSError if there is none with this id."""
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES / BYTES_PER_MB
 
 
 def run_play(
-    folder: Path, play: str, memory_mb: int, connections: int = 500, seconds: float = 7.0, seed: int = 1
+    folder: Path,
+    play: str,
+    memory_mb: int,
+    connections: int = 500,
+    seconds: float = 7.0,
+    seed: int = 1,
+    max_open_requests: int = MAX_OPEN_REQUESTS,
 ) -> PlayResult:
     """Run one play to its end; ``folder`` takes its files."""
-    return asyncio.run(HostilePlay(folder, play, memory_mb, connections, seconds, seed).run())
+    return asyncio.run(HostilePlay(folder, play, memory_mb, connections, seconds, seed, max_open_requests).run())
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -9,13 +9,13 @@
 from typing import Any
 
 import pytest
-from aiohttp import StreamReader
 
 from beechslip.config import Address
 from beechslip.core.messages import EndpointListUpdate, PurgeReceived
 from beechslip.core.model import Backend
 from beechslip.counters import Counters
 from beechslip.platform.changelog import ChangeLogReader
+from beechslip.platform.event_stream import EventStream
 from beechslip.platform.watch_calls import MAX_CALLS
 from lab.stand import HANG, RESET, FakeBackend, listening, read_message, run, until
 
@@ -268,15 +268,15 @@
 
 @run
 async def test_events_received_as_the_log_moves_are_posted(monkeypatch: pytest.MonkeyPatch) -> None:
-    original_feed_data = StreamReader.feed_data
+    original_data_received = EventStream.data_received
     async with running_reader(ScriptedChangeLog("log", list_event(4, False, c="leaving"), b"")) as (reader, posted):
 
-        def move_log_then_feed(stream: StreamReader, data: bytes, *more: Any) -> Any:
+        def move_log_then_receive(stream: EventStream, data: bytes) -> None:
             # The log moves in the step in which the event is read. Nothing listens at the new address.
             reader.set_address(Address("127.0.0.1", 9))
-            return original_feed_data(stream, data, *more)
+            original_data_received(stream, data)
 
-        monkeypatch.setattr(StreamReader, "feed_data", move_log_then_feed)
+        monkeypatch.setattr(EventStream, "data_received", move_log_then_receive)
         await until(lambda: posted)
         assert posted[0].backends[0].state == "draining"
 
