--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -51,6 +51,7 @@
             backend_type("hub", kind="parent", zone="north"),
             backend_type("archive", kind="origin", zone="north"),
         ]
+        self.settings = SETTINGS
         self.process: asyncio.subprocess.Process | None = None
         self.env = {name: value for name, value in os.environ.items() if not name.startswith("EDGE_")}
 
@@ -69,7 +70,7 @@
                         "seq": int(has_known_events),
                         "results": [{"seq": 1, "fleet": fleet}] if has_known_events else [],
                     },
-                    "settings": SETTINGS,
+                    "settings": self.settings,
                 }
             )
         )
