--- a/beechslip/core/attempts.py
+++ b/beechslip/core/attempts.py
@@ -13,6 +13,7 @@
 from beechslip.core.guards import ALLOWED, GuardState
 from beechslip.core.model import PROVEN_NOT_EXECUTED, AttemptRequest, AttemptResult, AttemptResultKind, Backend
 from beechslip.core.requests import OpenRequest, RepeatForbidden
+from beechslip.core.sent_memory import SentRequestMemory
 from beechslip.core.services import PreviousSend, SentRequestLog
 from beechslip.counters import Counters
 from beechslip.routing import interface
@@ -30,6 +31,7 @@
         "may_have_been_sent",
         "requested_ms",
         "result",
+        "sent_key",
         "sent_ms",
         "stop_reason",
         "task",
@@ -41,6 +43,7 @@
         self.requested_ms = requested_ms
         self.sent_ms = requested_ms  # updated at the first byte: dialling or waiting for a connection may take time
         self.may_have_been_sent = False  # whether its first byte may have been sent
+        self.sent_key: int | None = None  # under which the sent request is remembered
         self.stop_reason: AttemptResultKind | None = None
         # This result stands if the task is cancelled before its first step, as none of its code runs then.
         self.result = AttemptResult("moot")
@@ -92,11 +95,19 @@
     ``guards.VERDICT_COUNTERS``.
     """
 
-    def __init__(self, state: GuardState, clock: Clock, counters: Counters, post: Callable[[object], None]) -> None:
+    def __init__(
+        self,
+        state: GuardState,
+        sent_memory: SentRequestMemory,
+        clock: Clock,
+        counters: Counters,
+        post: Callable[[object], None],
+    ) -> None:
         """Create a runner without attempts.
 
         ``state`` holds the tables that the guards read; ``post`` puts a message into the engine's queue.
         """
+        self._sent_memory = sent_memory
         self.in_flight: dict[tuple[str, int], InFlightAttempt] = {}  # by request id and attempt number
         self._state = state
         self._services = state.services
@@ -130,6 +141,9 @@
         if attempt.alarm is not None:
             attempt.alarm.cancel()
         self._counters.add(f"attempt.{result.result}")
+        if attempt.sent_key is not None:
+            may_have_run = result.result not in PROVEN_NOT_EXECUTED
+            self._sent_memory.attempt_ended(attempt.sent_key, attempt, may_have_run=may_have_run)
         request = self._state.requests.by_id.get(attempt_request.client_request.id)
         if request is None or request.client_request is not attempt_request.client_request:
             return None
@@ -212,6 +226,9 @@
             return False
         if not attempt.may_have_been_sent:
             request.attempts_sent += 1
+            attempt.sent_key = self._sent_memory.key_of(request)
+            if attempt.sent_key is not None:
+                self._sent_memory.record(attempt.sent_key, attempt, now_ms)
         attempt.may_have_been_sent = True
         attempt.sent_ms = now_ms
         return True
--- a/beechslip/core/engine.py
+++ b/beechslip/core/engine.py
@@ -16,7 +16,7 @@
 from beechslip.clock import Clock, to_local_ms, to_ms, to_seconds
 from beechslip.core.attempts import AttemptFinished, AttemptRunner, InFlightAttempt, to_outcome_event
 from beechslip.core.endpoint_table import EndpointTable, to_endpoint_list_event
-from beechslip.core.guards import GuardState
+from beechslip.core.guards import ALLOWED, GuardState, check_keyed_repeat
 from beechslip.core.health_checks import HealthCheckRunner
 from beechslip.core.messages import (
     ClientDisconnected,
@@ -31,6 +31,7 @@
 from beechslip.core.requests import OpenRequest, OpenRequestTable, RepeatForbidden, RequestExpired, to_request_event
 from beechslip.core.responses import Responder
 from beechslip.core.router_module import RouterModule
+from beechslip.core.sent_memory import DEFAULT_ROOM_BYTES, SentRequestMemory
 from beechslip.core.services import AttemptObserver, OptionalServices, QuotaGate, SentRequestLog
 from beechslip.counters import Counters
 from beechslip.routing import interface
@@ -54,10 +55,12 @@
         quota_gate: QuotaGate | None = None,
         observer: AttemptObserver | None = None,
         sent_log: SentRequestLog | None = None,
+        sent_memory_bytes: int = DEFAULT_ROOM_BYTES,
     ) -> None:
         """Create an engine without open requests.
 
-        The last three parameters are the optional services; a service that the operators' files leave off is None.
+        ``quota_gate``, ``observer`` and ``sent_log`` are the optional services; a service that the operators' files
+        leave off is None. ``sent_memory_bytes`` is what the memory of requests that may run once or are keyed takes.
         """
         self.settings = settings
         self.clock = clock
@@ -74,7 +77,8 @@
         self._endpoints = EndpointTable(clock)
         self._purges = PurgeMemory()
         guard_state = GuardState(self._requests, self._endpoints.backends, self._purges, self.services)
-        self._attempts = AttemptRunner(guard_state, clock, counters, self.post)
+        self._sent_memory = SentRequestMemory(settings, sent_memory_bytes)
+        self._attempts = AttemptRunner(guard_state, self._sent_memory, clock, counters, self.post)
         self._health_checks = HealthCheckRunner(health_checker, self._endpoints.backends, clock, counters, self.post)
         self._responder = Responder(clock, counters)
 
@@ -120,6 +124,7 @@
                     self._on_shutdown()
                 case SettingsChanged():
                     self.settings = message.settings
+                    self._sent_memory.retune(message.settings)
                     self._notify_router(None, interface.SettingsChanged(message.settings))
                 case (
                     interface.Timer() | interface.HealthCheckResult() | interface.Quotas() | interface.RegionShares()
@@ -226,11 +231,38 @@
             response = FinalResponse("refused", retry_after_ms=retry_after_ms, reason="too many open requests")
             self._responder.respond(request, response)
             return
-        self._requests.add(request)
         now_ms = self.clock.now_ms()
+        rejection = self._check_sent_before(request, now_ms)
+        if rejection is not None:
+            self._responder.respond(request, rejection)
+            return
+        self._requests.add(request)
         request.alarm = self.clock.call_later(request.expires_ms - now_ms, lambda: self.post(RequestExpired(request)))
         self._notify_router(client_request.id, to_request_event(request, now_ms))
 
+    def _check_sent_before(self, request: OpenRequest, now_ms: float) -> FinalResponse | None:
+        """Return the response to a request that must not be sent, because it was sent before and may have run.
+
+        The window of a keyed request runs from its first send, whoever its client was then.
+        """
+        key = self._sent_memory.key_of(request)
+        if key is None or request.rule is None:
+            return None
+        first_sent_ms = self._sent_memory.first_sent_ms(key)
+        if first_sent_ms is None:
+            if not self._sent_memory.is_full(now_ms):
+                return None
+            retry_after_ms = to_ms(self.settings.max_retry_after)
+            return FinalResponse("refused", retry_after_ms=retry_after_ms, reason="sent requests not remembered")
+        if request.rule.effect != "keyed":
+            self.counters.add("sent_before")
+            return FinalResponse("failed", cause="duplicate", reason="sent before")
+        request.first_possible_run_ms = first_sent_ms
+        if check_keyed_repeat(request.rule, first_sent_ms, now_ms) is ALLOWED:
+            return None
+        self.counters.add("sent_before")
+        return FinalResponse("failed", cause="sent before", reason="sent before")
+
     def _on_client_disconnected(self, message: ClientDisconnected) -> None:
         request = self._requests.by_id.get(message.id)
         if request is None or request.response_sink is not message.response_sink:
--- a/beechslip/memory_budget.py
+++ b/beechslip/memory_budget.py
@@ -42,6 +42,8 @@
 UNSENT = RoomPlan("unsent", 0.15, 256 * 1024, 0.0)
 # Events of the change log that are being received.
 EVENTS = RoomPlan("events", 0.1, 512 * 1024, 0.0, 8 * BYTES_PER_MB)
+# The hashes of requests that may have run; their owner bounds them by itself.
+SENT_REQUESTS = RoomPlan("sent_requests", 0.05, 256 * 1024, 0.0)
 
 
 class MemoryCharge:
@@ -155,7 +157,8 @@
         self.responses = self._create_room(RESPONSES)
         self.unsent = self._create_room(UNSENT)
         self.events = self._create_room(EVENTS)
-        self.rooms = (self.requests, self.responses, self.unsent, self.events)
+        self.sent_requests = self._create_room(SENT_REQUESTS)
+        self.rooms = (self.requests, self.responses, self.unsent, self.events, self.sent_requests)
 
     def _create_room(self, plan: RoomPlan) -> MemoryRoom:
         limit_bytes = max(int(self.available_bytes * plan.share), plan.least_bytes)
--- a/beechslip/proxy.py
+++ b/beechslip/proxy.py
@@ -124,6 +124,7 @@
             None if peering is None else peering.budgets,
             None if peering is None else peering.regions,
             sent_request_log,
+            self.memory.sent_requests.limit_bytes,
         )
         front = HttpFront(settings, self.clock, client, engine.post, self.counters, config.max_sockets, self.memory)
         ops = self._build_ops(front, peering)
