Client connections: the queue of waiting requests and the exchange have modules of their own

No behaviour changes. `request_queue.py` (pure) owns the bytes and the counts of what waits, `exchange.py` has the interface between a connection and those who answer; the kernel's state of a connection is read in `sockets.py`.

--- a/beechslip/platform/client_connection.py
+++ b/beechslip/platform/client_connection.py
@@ -4,26 +4,24 @@
 
 import asyncio
 import logging
-import socket
-from collections import deque
-from collections.abc import Callable
 from typing import Protocol
 
 from beechslip.clock import Clock
 from beechslip.counters import Counters
 from beechslip.memory_budget import MemoryBudget, MemoryCharge
 from beechslip.platform.client_requests import MAX_REQUEST_BODY_BYTES, BadRequestError
+from beechslip.platform.exchange import Exchange, RequestHandler
 from beechslip.platform.fair_turns import STEPS_PER_TURN, FairTurns
 from beechslip.platform.http_messages import CONTINUE_RESPONSE, HttpResponse, response_head
 from beechslip.platform.request_assembler import BadStreamError, RequestAssembler, WholeRequest
 from beechslip.platform.request_head import RequestHead
-from beechslip.platform.sockets import RetryingSocket
+from beechslip.platform.request_queue import RequestQueue
+from beechslip.platform.sockets import OPEN_TCP_STATES, RetryingSocket, tcp_state
 
 log = logging.getLogger("beechslip.front")
 
 # A read within this many milliseconds of the previous one is taken for a part of the same burst of waiting bytes.
 SAME_BURST_MS = 20.0
-MAX_READ_AHEAD_BYTES = 65_536  # of whole requests that wait behind the one being handled; further ones are refused
 # A connection with input that has been unread for this long may have been closed by its client without a sign here.
 MAX_UNREAD_MS = 50.0
 HANDLED_PER_STEP = 2  # requests of a connection that are begun in one step of the event loop
@@ -32,66 +30,6 @@
 # Reads are this long at least, also while memory is short, so that small requests are read at once.
 MIN_READ_BYTES = 2_048
 
-# TCP states (Linux, tcp_states.h) in which the other side has not closed: ESTABLISHED, FIN_WAIT1, FIN_WAIT2.
-OPEN_TCP_STATES = frozenset({1, 4, 5})
-UNKNOWN_TCP_STATE = 0
-
-
-def _tcp_state(transport: asyncio.BaseTransport | None) -> int:
-    """Return the kernel's state of a connection, or UNKNOWN_TCP_STATE if it can't be read."""
-    sock = transport.get_extra_info("socket") if transport is not None else None
-    if sock is None:
-        return UNKNOWN_TCP_STATE
-    try:
-        return int(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0])
-    except (OSError, AttributeError, IndexError):
-        return UNKNOWN_TCP_STATE
-
-
-class Exchange:
-    """A request that awaits its response."""
-
-    __slots__ = ("_connection", "on_departure")
-
-    def __init__(self, connection: ClientConnection) -> None:
-        """Create the exchange of the request that ``connection`` begins."""
-        self._connection = connection
-        self.on_departure: Callable[[], None] | None = None  # called if the client leaves before its response
-
-    @property
-    def has_client_departed(self) -> bool:
-        """True if the client has closed its connection, or has had its response."""
-        return self._connection.exchange is not self or self._connection.has_client_departed
-
-    @property
-    def has_more_input(self) -> bool:
-        """True if the client has sent more bytes after the request."""
-        return self._connection.has_more_input
-
-    def respond(self, response: HttpResponse) -> None:
-        """Send the response. No effect if the client has left, or has had one."""
-        if self._connection.exchange is self:
-            self.on_departure = None  # it refers to the request, which would be kept by a reference cycle
-            self._connection.send_response(response)
-
-
-class RequestHandler(Protocol):
-    """Answers requests."""
-
-    def check_head(self, head: RequestHead) -> None:
-        """Raise BadRequestError if a request with this head can't be served, before its body is received."""
-
-    def handle_request(self, request: WholeRequest, exchange: Exchange) -> None:
-        """Respond to a request, now or later. Raises BadRequestError if it can't be served."""
-
-    def refusal(self) -> HttpResponse:
-        """Return the response to a request that is refused because its client sends too much."""
-        ...
-
-    def rejection(self, error: BadRequestError) -> HttpResponse:
-        """Return the response to a request that can't be served, and count it."""
-        ...
-
 
 class ConnectionOwner(Protocol):
     """What a connection needs from the server that owns it."""
@@ -133,15 +71,12 @@
         "_is_waiting_for_room",
         "_is_waiting_for_turn",
         "_keeps_connection",
-        "_last_response",
         "_owner",
         "_partial_charge",
         "_previous_read_ms",
         "_queue",
-        "_queued_bytes",
         "_read_delay_ms",
         "_read_size",
-        "_refusals_owed",
         "_sends_body",
         "_sock",
         "_unread_since_ms",
@@ -170,11 +105,8 @@
         self.is_lingering = False  # the last response has been sent, and what the client still sends is dropped
         self.writing_paused = False  # bytes of a response are waiting to be sent
         self._assembler = RequestAssembler(self._keeps_body)
-        self._queue = deque[WholeRequest]()  # whole requests behind the one that is being handled
-        self._queued_bytes = 0
+        self._queue = RequestQueue()  # behind the request that is being handled
         self._handled_bytes = 0  # memory of the request that is being handled
-        self._refusals_owed = 0  # requests behind the queue that are not kept, and are refused in their turn
-        self._last_response: HttpResponse | None = None  # to what follows the queue; it ends the connection
         self._keeps_connection = True  # whether the client of the current request keeps the connection
         self._sends_body = True  # whether the response to the current request has a body
         self._partial_charge = MemoryCharge(owner.memory.requests, self.end_partial_request)
@@ -205,7 +137,7 @@
         This guards against closing the connection between the request's last byte and the step that handles it: the
         client has sent the request on a connection that was open.
         """
-        return bool(self.exchange or self._queue or self._refusals_owed or self._last_response)
+        return self.exchange is not None or bool(self._queue)
 
     @property
     def has_client_departed(self) -> bool:
@@ -216,7 +148,7 @@
         """
         if self.is_closed_by_client:
             return True
-        return self._is_kernel_state_known and _tcp_state(self.raw_transport) not in OPEN_TCP_STATES
+        return self._is_kernel_state_known and tcp_state(self.raw_transport) not in OPEN_TCP_STATES
 
     @property
     def is_awaiting_first_byte(self) -> bool:
@@ -236,7 +168,12 @@
     @property
     def has_more_input(self) -> bool:
         """True if the client has sent more bytes after the request that is being handled."""
-        return bool(self._queue or self._refusals_owed or self._last_response or self._assembler.has_partial_request)
+        return bool(self._queue) or self._assembler.has_partial_request
+
+    @property
+    def _is_dropping_input(self) -> bool:
+        """True if the last response is sent, or waits to be sent."""
+        return self.is_lingering or self._queue.last_response is not None
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -255,7 +192,7 @@
         assert isinstance(transport, asyncio.Transport)
         transport.set_write_buffer_limits(high=0)
         self.raw_transport = transport
-        self._is_kernel_state_known = _tcp_state(transport) in OPEN_TCP_STATES
+        self._is_kernel_state_known = tcp_state(transport) in OPEN_TCP_STATES
         self._owner.admit(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -274,7 +211,7 @@
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Handle received bytes. They may not be kept after this call."""
-        if self.is_lingering or self._last_response is not None:
+        if self._is_dropping_input:
             return
         self._record_received_bytes()
         self._assembler.feed(data)
@@ -340,7 +277,7 @@
 
     def take_turn(self) -> bool:
         """Go on with input that was more than one turn's work; see ``TurnTaker``."""
-        has_more_work = self._last_response is None and not self.is_closed_by_client and self._advance()
+        has_more_work = not (self._is_dropping_input or self.is_closed_by_client) and self._advance()
         if not has_more_work:
             self._is_waiting_for_turn = False
             self._update_reading()
@@ -366,32 +303,28 @@
         self._owner.handler.check_head(head)
         if self.has_pending_request:
             body_bytes = MAX_REQUEST_BODY_BYTES if head.is_chunked else head.content_length
-            return self._has_room_in_queue(body_bytes)
+            return self._may_wait(body_bytes)
         if head.expects_continue and self.raw_transport is not None:
             self.raw_transport.write(CONTINUE_RESPONSE)  # the client may wait for this before it sends the body
         return True
 
-    def _has_room_in_queue(self, nbytes: int) -> bool:
-        return (
-            not self._refusals_owed
-            and self._queued_bytes + nbytes <= MAX_READ_AHEAD_BYTES
-            and not self._owner.memory.requests.is_full
-        )
+    def _may_wait(self, nbytes: int) -> bool:
+        """Return True if there is memory for a request behind another."""
+        return self._queue.has_room_for(nbytes) and not self._owner.memory.requests.is_full
 
     def _enqueue(self, request: WholeRequest) -> None:
         """Keep a request until its turn. One beyond the bound is not kept: it is refused when its turn comes."""
         is_first = not self.has_pending_request
-        if request.is_dropped or not (is_first or self._has_room_in_queue(request.held_bytes)):
-            self._refusals_owed += 1
-            return
-        self._queue.append(request)
-        self._queued_bytes += request.held_bytes
+        if request.is_dropped or not (is_first or self._may_wait(request.held_bytes)):
+            self._queue.refusals_owed += 1
+        else:
+            self._queue.append(request)
 
     def _end_input(self, response: HttpResponse) -> None:
         """Answer what the client has sent last with ``response``, and end the connection with it."""
         self._assembler.clear()
         response.closes_connection = True
-        self._last_response = response
+        self._queue.last_response = response
 
     def end_partial_request(self) -> None:
         """Refuse a request that has been received in part, because its memory is needed."""
@@ -402,7 +335,7 @@
     def _update_charges(self) -> None:
         now_ms = self._owner.clock.now_ms()
         self._partial_charge.set(self._assembler.held_bytes, now_ms)
-        self._whole_charge.set(self._queued_bytes + self._handled_bytes, now_ms)
+        self._whole_charge.set(self._queue.held_bytes + self._handled_bytes, now_ms)
 
     # Reading and pausing --------------------------------------------------------------------------
 
@@ -415,11 +348,10 @@
         if self._partial_charge.amount and not self._is_waiting_for_room and room.is_full:
             self._is_waiting_for_room = True
             room.wait(self._room_is_free)
-        is_dropping_input = self.is_lingering or self._last_response is not None
         pauses = (
             self._is_waiting_for_turn
-            or (self._is_waiting_for_room and not is_dropping_input)
-            or (self.writing_paused and (self._refusals_owed > 0 or self._queued_bytes > 0))
+            or (self._is_waiting_for_room and not self._is_dropping_input)
+            or (self.writing_paused and bool(self._queue))
         )
         if pauses == self._is_reading_paused:
             return
@@ -441,14 +373,10 @@
             return False
         if self._owner.clock.now_ms() - self._unread_since_ms <= MAX_UNREAD_MS:
             return False
-        try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:  # all has been read
-            self._unread_since_ms = None
-            return False
-        except OSError:
+        if self._sock.has_unread_bytes():
             return True
-        return True
+        self._unread_since_ms = None
+        return False
 
     # Handling requests ----------------------------------------------------------------------------
 
@@ -463,17 +391,17 @@
         for _ in range(HANDLED_PER_STEP):
             if not self._can_send_response():
                 return
-            if not self._queue:
+            if not self._queue.has_request:
                 break
-            self._begin_request(self._queue.popleft())
+            self._begin_request(self._queue.pop())
         if not self._can_send_response():
             return
-        if self._queue:
+        if self._queue.has_request:
             self._schedule_begin()
-        elif self._refusals_owed:
+        elif self._queue.refusals_owed:
             self._send_refusals()
-        elif self._last_response is not None and not self.is_lingering:
-            self._send_last_response()
+        elif self._queue.last_response is not None:
+            self._send_last_response(self._queue.last_response)
 
     def _can_send_response(self) -> bool:
         return (
@@ -485,7 +413,6 @@
         )
 
     def _begin_request(self, request: WholeRequest) -> None:
-        self._queued_bytes -= request.held_bytes
         self._handled_bytes = request.held_bytes
         self._read_delay_ms = 0.0
         self.exchange = exchange = Exchange(self)
@@ -509,7 +436,7 @@
         """Answer the current request with ``response``, and end the connection with it."""
         self.exchange = None
         self._handled_bytes = 0
-        self._drop_requests()
+        self._queue.clear()
         self._end_input(response)
         self._update_charges()
         self._schedule_begin()
@@ -521,11 +448,11 @@
         response.closes_connection = response.closes_connection or not self._keeps_connection
         self._write_response(response)
         if response.closes_connection:
-            self._drop_requests()
+            self._queue.clear()
             self.force_close()
         self._update_charges()
         self._request_done()
-        if self._queue or self._refusals_owed or self._last_response is not None:
+        if self._queue:
             self._schedule_begin()
 
     def _write_response(self, response: HttpResponse) -> None:
@@ -556,8 +483,7 @@
 
     def _send_refusals(self) -> None:
         """Refuse requests that were not kept."""
-        count = min(self._refusals_owed, REFUSALS_PER_WRITE)
-        self._refusals_owed -= count
+        count = self._queue.take_refusals(REFUSALS_PER_WRITE)
         refusal = self._owner.handler.refusal()
         self._owner.counters.add("refused.ahead", count)
         if self.raw_transport is not None:
@@ -567,16 +493,15 @@
         if self.has_pending_request:
             self._schedule_begin()
 
-    def _send_last_response(self) -> None:
+    def _send_last_response(self, response: HttpResponse) -> None:
         """Send the response that ends the connection, and drop what the client still sends until it closes too.
 
         Closing at once would reset the connection if bytes are unread, and the response could be lost with that.
         """
-        response, self._last_response = self._last_response, None
+        self._queue.last_response = None
         self.is_lingering = True
-        if response is not None:
-            self._sends_body = True
-            self._write_response(response)
+        self._sends_body = True
+        self._write_response(response)
         self._request_done()
         if self.raw_transport is not None and self.raw_transport.can_write_eof():
             self.raw_transport.write_eof()
@@ -597,22 +522,15 @@
         if self.is_closed_by_client:
             return
         self.is_closed_by_client = True
-        self._drop_requests()
+        self._queue.clear()
         self._assembler.clear()
         self._handled_bytes = 0
         self._update_charges()
         exchange, self.exchange = self.exchange, None
-        if exchange is not None and exchange.on_departure is not None:
-            on_departure, exchange.on_departure = exchange.on_departure, None
-            on_departure()
+        if exchange is not None:
+            exchange.client_departed()
         self._owner.request_done()
 
-    def _drop_requests(self) -> None:
-        self._queue.clear()
-        self._queued_bytes = 0
-        self._refusals_owed = 0
-        self._last_response = None
-
     def force_close(self) -> None:
         """Close the connection. Bytes that wait to be sent are still sent."""
         if self.raw_transport is not None:
--- a/beechslip/platform/front.py
+++ b/beechslip/platform/front.py
@@ -13,8 +13,8 @@
 from beechslip.core.model import AttemptExecutor, FinalResponse
 from beechslip.counters import Counters
 from beechslip.memory_budget import MemoryBudget, unlimited_budget
-from beechslip.platform.client_connection import Exchange
 from beechslip.platform.client_requests import BadRequestError, parse_client_request
+from beechslip.platform.exchange import Exchange
 from beechslip.platform.http_messages import HttpResponse, text_response
 from beechslip.platform.request_assembler import WholeRequest
 from beechslip.platform.request_head import RequestHead
--- a/beechslip/platform/server.py
+++ b/beechslip/platform/server.py
@@ -11,8 +11,9 @@
 from beechslip.clock import Clock
 from beechslip.counters import Counters
 from beechslip.memory_budget import MemoryBudget
-from beechslip.platform.client_connection import ClientConnection, RequestHandler
+from beechslip.platform.client_connection import ClientConnection
 from beechslip.platform.client_requests import BadRequestError
+from beechslip.platform.exchange import RequestHandler
 from beechslip.platform.fair_turns import FairTurns
 from beechslip.platform.http_messages import HttpResponse
 from beechslip.platform.sockets import RetryingSocket
--- a/beechslip/platform/sockets.py
+++ b/beechslip/platform/sockets.py
@@ -21,6 +21,20 @@
 ACCEPT_RETRY_S = 0.005  # delay after a failed accept, whatever the cause; asyncio's own servers pause for a second
 LISTEN_RETRY_S = 0.05  # delay between two attempts to listen
 LISTEN_TIMEOUT_S = 10.0  # time after which attempts to listen are given up
+# TCP states (Linux, tcp_states.h) in which the other side has not closed: ESTABLISHED, FIN_WAIT1, FIN_WAIT2.
+OPEN_TCP_STATES = frozenset({1, 4, 5})
+UNKNOWN_TCP_STATE = 0
+
+
+def tcp_state(transport: asyncio.BaseTransport | None) -> int:
+    """Return the kernel's state of a connection, or UNKNOWN_TCP_STATE if it can't be read."""
+    sock = transport.get_extra_info("socket") if transport is not None else None
+    if sock is None:
+        return UNKNOWN_TCP_STATE
+    try:
+        return int(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0])
+    except (OSError, AttributeError, IndexError):
+        return UNKNOWN_TCP_STATE
 
 
 class RetryingSocket(socket.socket):
@@ -59,6 +73,16 @@
         except OSError as error:
             raise self._note_failed_read(error) from None
 
+    def has_unread_bytes(self) -> bool:
+        """Return True if received bytes, or the end of the connection, have not been read yet."""
+        try:
+            self.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
     def _note_failed_read(self, error: OSError) -> OSError:
         """Return the error to raise. If it is temporary, the bytes that wait here have waited from now on."""
         mapped = _as_would_block(error)
--- a/lab/hostile_play.py
+++ b/lab/hostile_play.py
@@ -134,16 +134,21 @@
     async def run(self) -> PlayResult:
         """Start the proxy, play, and end the proxy."""
         async with contextlib.AsyncExitStack() as stack:
-            backends = await _start(stack, "lab.sized_backends", stdin=PIPE, stdout=PIPE)
-            assert backends.stdout is not None
-            self._write_config(json.loads(await backends.stdout.readline()))
-            log = stack.enter_context((self.folder / "log").open("wb"))
-            process = await _start(stack, "beechslip", stderr=log, EDGE_CONFIG=str(self.folder / "config.json"))
-            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
-            await asyncio.wait_for(self._wait_until_ready(), START_TIMEOUT_S)
-            await self._play(process)
+            await self._play(await self.start_proxy(stack))
         return self.result
 
+    async def start_proxy(self, stack: contextlib.AsyncExitStack, root: Path = ROOT) -> asyncio.subprocess.Process:
+        """Start the backends and the proxy of the checkout ``root``; return the proxy once it is ready."""
+        backends = await _start(stack, "lab.sized_backends", stdin=PIPE, stdout=PIPE)
+        assert backends.stdout is not None
+        self._write_config(json.loads(await backends.stdout.readline()))
+        log = stack.enter_context((self.folder / "log").open("wb"))
+        config = str(self.folder / "config.json")
+        process = await _start(stack, "beechslip", cwd=root, stderr=log, EDGE_CONFIG=config)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+        await asyncio.wait_for(self._wait_until_ready(), START_TIMEOUT_S)
+        return process
+
     def _write_config(self, backends_config: dict[str, Any]) -> None:
         settings: dict[str, Any] = copy.deepcopy(SETTINGS)
         settings["caps"]["mostHeld"] = self.max_open_requests
@@ -190,6 +195,7 @@
     stack: contextlib.AsyncExitStack,
     module: str,
     *arguments: str,
+    cwd: Path = ROOT,
     stdin: Any = None,
     stdout: Any = None,
     stderr: Any = None,
@@ -201,7 +207,7 @@
         "-m",
         module,
         *arguments,
-        cwd=ROOT,
+        cwd=cwd,
         env=os.environ | env,
         stdin=stdin,
         stdout=stdout,
