Lab: a process told to end before it serves is known by its log line, not taken for a stranger

Cause: the judge knew processes by the line that they listen. A process that gets SIGTERM once its handlers are installed and before it serves writes one other line (`is shutting down before it serves`) and exits with 0; the judge allowed this only of those that ended with -15, before their handlers. In this case instances of killed agents are started anew while the order drains them, so a new process may get SIGTERM at any moment of its start.

Evidence: `test_sigterm_ends_a_program_that_still_waits_for_its_endpoint_list` shows such an end; it is the only path on which a proxy exits with 0 without having listened.

Change: the judge reads that line, and counts the process as one of the instance it names, if the report says that it ended in order. A report that blames it, of another instance, or of a process without any line, is untrue as before; the judge's own test has these cases.

--- a/lab/agent_judge.py
+++ b/lab/agent_judge.py
@@ -1,7 +1,8 @@
 """Checks the reports of orders over real proxies against the proxies' own logs.
 
 A proxy writes two lines with its name and process: one when it listens, and one when it has answered all requests and
-exits. From these lines the lab knows which processes each instance had and which of them exited cleanly. Rules:
+exits; or a single one if it is told to end before it serves. From these lines the lab knows which processes each
+instance had and which of them exited cleanly. Rules:
 
 - ``report-untrue``: an instance is reported as done although its last process did not exit cleanly (unless the report
   says that nobody saw how it ended), or as failed although its process exited cleanly; or a drained instance still
@@ -20,13 +21,15 @@
 from beechslip.orders.model import Order, Step
 from beechslip.orders.step_run import EXIT_NOT_OBSERVED
 
-LIFECYCLE_LINE = re.compile(r"(\S+) beechslip (\S+), process (\d+), (listens|has answered)")
+LIFECYCLE_LINE = re.compile(r"(\S+) beechslip (\S+), process (\d+), (listens|has answered|is shutting down before)")
 SIGTERM_LINE = re.compile(r"(\S+) beechslip (\S+), process (\d+), (is shutting down)")
 LISTENS = "listens"
+HAS_ANSWERED = "has answered"
+NEVER_SERVES = "is shutting down before"
 
 ENDED_PROCESS = re.compile(r"process (\d+) (?:ended|killed)")
 ENDED_BEFORE_SERVING = "ended with -15"
-"""Text in a step's detail: SIGTERM came before the process had begun to serve, so it logged no lines."""
+"""Text in a step's detail: SIGTERM came before the process had installed its handlers, so it logged no lines."""
 
 NOT_RUNNING = "was not running"
 """Text in a step's detail: there was no process to end."""
@@ -53,7 +56,7 @@
     @property
     def is_end(self) -> bool:
         """True if the line says that the process has answered all requests and exits."""
-        return self.event != LISTENS
+        return self.event == HAS_ANSWERED
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +113,7 @@
         self._lines = lines
         self._answering = answering
         self._cleanly_ended_pids = {line.pid for line in lines if line.is_end}
+        self._never_serving = {(line.instance, line.pid) for line in lines if line.event == NEVER_SERVES}
 
     def check(self, unanswered: Sequence[UnansweredRequest]) -> None:
         """Check all orders, and the requests that got no answer."""
@@ -128,7 +132,7 @@
             self._violation(f"not-ended: {order} is {order.state}: {order.why}")
         is_last = order is self._outcome.orders[-1]
         for step in order.steps:
-            pids = [x.pid for x in self._lines if x.instance == step.instance and not x.is_end]
+            pids = [x.pid for x in self._lines if x.instance == step.instance and x.event == LISTENS]
             named = [int(pid) for pid in ENDED_PROCESS.findall(step.detail)]
             self._check_named_processes(order, step, pids, named)
             if order.kind == "drain" and is_last and step.state == "done":
@@ -144,7 +148,8 @@
         for pid in named:
             ended_cleanly = pid in self._cleanly_ended_pids
             if pid not in pids:
-                if ENDED_BEFORE_SERVING not in step.detail:
+                is_known_as_ended = (step.instance, pid) in self._never_serving and not is_blamed
+                if ENDED_BEFORE_SERVING not in step.detail and not is_known_as_ended:
                     self._violation(
                         f"report-untrue: {order}: {step.instance} {step.detail}, but its processes were {pids}"
                     )
@@ -160,12 +165,16 @@
             self._violation(f"report-untrue: {order}: {step.instance} is reported as drained, but answers")
         is_unseen = EXIT_NOT_OBSERVED in step.detail or NOT_RUNNING in step.detail
         # If the process that the step ended has never served, the last process in the log is an earlier one.
-        has_never_served = ENDED_BEFORE_SERVING in step.detail and bool(named) and named[-1] not in pids
+        has_never_served = bool(named) and named[-1] not in pids and self._has_never_served(step, named[-1])
         if pids and pids[-1] not in self._cleanly_ended_pids and not is_unseen and not has_never_served:
             self._violation(
                 f"report-untrue: {order}: {step.instance} is done, but process {pids[-1]} did not exit cleanly"
             )
 
+    def _has_never_served(self, step: Step, pid: int) -> bool:
+        """Return True if a process that never listened can be one of the step's instance that was told to end."""
+        return ENDED_BEFORE_SERVING in step.detail or (step.instance, pid) in self._never_serving
+
     def _check_requests(self, unanswered: Sequence[UnansweredRequest]) -> None:
         """Report unanswered requests to proxies that were not just ending.
 
--- a/tests/test_orders_processes.py
+++ b/tests/test_orders_processes.py
@@ -60,6 +60,7 @@
             f"2026-01-01 00:00:0{n},000 beechslip n{n}, process {10 + n}, listens on x; 1 proxies\n" for n in range(4)
         )
         + "2026-01-01 00:00:09,000 beechslip n0, process 10, has answered all requests, and exits\n"
+        + "2026-01-01 00:00:09,500 beechslip n3, process 14, is shutting down before it serves\n"
     )
     steps = [
         ("n0", "done", "process 10 ended with 0"),
@@ -68,6 +69,10 @@
         ("n2", "done", "it was not running"),
         ("n3", "done", ""),
         ("n2", "died", "process 99 ended with -9"),
+        ("n3", "died", "process 14 ended with 0"),
+        ("n0", "done", "process 14 ended with 0"),
+        ("n3", "done", "process 98 ended with 0"),
+        ("n3", "done", "process 14 ended with 0"),
     ]
     orders = [
         Order(1, "drain", "op", state="done", steps=(Step(1, name, "", "drain", state, "", detail),))  # type: ignore[arg-type]
@@ -78,4 +83,4 @@
         outcome = CaseOutcome([one])
         world.check_reports(outcome, {"n0": False, "n1": False, "n2": True, "n3": False})
         has_violations.append(bool(outcome.violations))
-    assert has_violations == [False, True, True, True, True, True]
+    assert has_violations == [False, True, True, True, True, True, True, True, True, False]
