--- a/beechslip/memory_budget.py
+++ b/beechslip/memory_budget.py
@@ -128,6 +128,11 @@
             del self._waiters[resume]
             resume()
 
+    def relieve(self, now_ms: float) -> None:
+        """End holders that keep a full room from others for too long, and resume waiters if there is space."""
+        self.end_oldest(now_ms)
+        self._resume_waiters()
+
     def end_oldest(self, now_ms: float) -> None:
         """While the room is full, end holders that have kept their bytes for too long, the oldest first."""
         while self.is_full and self._endable:
@@ -165,9 +170,9 @@
         return MemoryRoom(plan, min(limit_bytes, plan.most_bytes), self._counters)
 
     def relieve(self, now_ms: float) -> None:
-        """End holders that keep a full room from others for too long; to be called regularly."""
+        """Relieve all rooms; to be called regularly."""
         for room in self.rooms:
-            room.end_oldest(now_ms)
+            room.relieve(now_ms)
 
     def describe(self) -> str:
         """Return the rooms with what they hold, held at most, and may hold, in KB, for the log."""
--- a/beechslip/platform/client_connection.py
+++ b/beechslip/platform/client_connection.py
@@ -329,6 +329,8 @@
     def end_partial_request(self) -> None:
         """Refuse a request that has been received in part, because its memory is needed."""
         self._end_input(self._owner.handler.refusal())
+        self._owner.memory.requests.cancel_wait(self._room_is_free)
+        self._is_waiting_for_room = False
         self._partial_charge.set(0, self._owner.clock.now_ms())
         self._schedule_begin()
 
--- a/beechslip/platform/request_queue.py
+++ b/beechslip/platform/request_queue.py
@@ -7,7 +7,7 @@
 from beechslip.platform.http_messages import HttpResponse
 from beechslip.platform.request_assembler import WholeRequest
 
-MAX_READ_AHEAD_BYTES = 65_536  # of requests that wait behind another; further ones are refused
+MAX_READ_AHEAD_BYTES = 131_072  # of requests that wait behind another; further ones are refused
 
 
 class RequestQueue:
--- a/lab/hostile_clients.py
+++ b/lab/hostile_clients.py
@@ -29,6 +29,8 @@
 CLIENT_WAIT_MS = 2_000
 UNREAD_RECEIVE_BUFFER_BYTES = 4_096  # of clients that never read, so that the proxy has to hold their answers
 
+HOSTILE_ID_PREFIX = "f00d"  # of the ids of these clients' requests
+
 _request_numbers = itertools.count(1)
 
 
@@ -73,7 +75,7 @@
     lines = [
         f"{method} {target} HTTP/1.1",
         "Host: service.internal",
-        f"Req-Id: {random.getrandbits(32):08x}{next(_request_numbers):08x}",
+        f"Req-Id: {HOSTILE_ID_PREFIX}{random.getrandbits(16):04x}{next(_request_numbers):08x}",
         f"Req-Wait-Ms: {CLIENT_WAIT_MS}",
         *(f"{name.replace('_', '-')}: {value}" for name, value in fields.items()),
     ]
--- a/lab/hostile_play.py
+++ b/lab/hostile_play.py
@@ -228,6 +228,14 @@
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES / BYTES_PER_MB
 
 
+def peak_resident_mb(pid: int) -> float:
+    """Return the highest resident memory that a process has had, in MB. Raises OSError if there is none."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) * 1024 / BYTES_PER_MB
+    return 0.0
+
+
 def run_play(
     folder: Path,
     play: str,
--- a/lab/service_soak.py
+++ b/lab/service_soak.py
@@ -2,7 +2,9 @@
 
 Each run lasts a few seconds. The wall clock is stepped, system calls fail for a moment, backends hang, reset
 connections, respond with errors and drain, objects are purged, and signals are sent in series. Clients continue to
-use their connections until SIGKILL, which is sent as early as the protocol page allows. Started by
+use their connections until SIGKILL, which is sent as early as the protocol page allows. In half of the runs hostile
+clients of all kinds (``lab/hostile_clients.py``) keep at it until then, and the process has to stay within its memory
+limit. Started by
 ``python -m lab service --seeds 50``; the same seed draws the same plan.
 """
 
@@ -23,6 +25,8 @@
 from pathlib import Path
 from typing import Any
 
+from lab.hostile_clients import HOSTILE_ID_PREFIX, MIXED
+from lab.hostile_play import peak_resident_mb
 from lab.ports import free_port
 from lab.processes import ROOT
 from lab.stand import (
@@ -40,6 +44,8 @@
 
 SERVING_S = 4.0
 CLIENT_COUNT = 10
+MEMORY_LIMIT_MB = 64
+HOSTILE_CONNECTIONS = 60  # with the sound clients and the crowd more than there are places for clients
 STATED_SIZES_KB = (64, 320, 1280)
 TRANSFER_RATE_KB_S = 6400.0  # the rate in SETTINGS, which the requests in progress at a backend share
 ANSWER_GRACE_S = 0.5  # a response this much after its deadline earns nothing but is no violation
@@ -142,6 +148,9 @@
                 if "X-Trace" not in fields:
                     writer.write(ERROR_RESPONSE if self.behaviour == "error" else ok_response("probe"))
                     continue
+                if fields["X-Trace"].startswith(HOSTILE_ID_PREFIX):
+                    writer.write(ok_response(request_line))
+                    continue
                 request = self.check_request(request_line, fields)
                 number = next(ATTEMPT_NUMBERS)
                 request.open_attempts.add(number)
@@ -239,6 +248,8 @@
         # Half of the runs state sizes, so that the proxy limits links and lets requests wait. These draws have a
         # generator of their own, so that the plans of the seeds stay as they are.
         self.size_rng = random.Random(f"sizes {seed}") if seed % 2 else None
+        self.has_hostile_clients = seed % 2 == 0
+        self.seed = seed
         self.sequence = 1
 
     def write_config(self) -> None:
@@ -252,7 +263,7 @@
             "name": "n0",
             "listen": f"127.0.0.1:{self.port}",
             "seed": "1",
-            "limits": {"sockets": 256},
+            "limits": {"sockets": 256, "memory_mb": MEMORY_LIMIT_MB},
             "changelog": self.log.address,
             "settings": self.settings,
             "known": {"seq": 1, "results": [{"seq": 1, "fleet": endpoint_list}]},
@@ -300,6 +311,7 @@
 
     async def play(self, process: asyncio.subprocess.Process, faults: Path) -> None:
         """Run clients and faults for ``SERVING_S``, then send signals, then shut down gracefully under load."""
+        hostile = await self._start_hostile_clients() if self.has_hostile_clients else None
         clients = [asyncio.create_task(self.run_client()) for _ in range(CLIENT_COUNT)]
         idle = [
             await asyncio.open_connection("127.0.0.1", self.port) for _ in range(150 * self.enabled_faults["crowd"])
@@ -310,6 +322,8 @@
             await asyncio.sleep(self.rng.uniform(0.1, 0.5))
         if process.returncode is not None:
             self.findings.violations.append(f"the proxy exited with {process.returncode} while serving")
+        elif (peak_mb := peak_resident_mb(process.pid)) > MEMORY_LIMIT_MB:
+            self.findings.violations.append(f"the proxy took {peak_mb:.0f} MB of {MEMORY_LIMIT_MB}")
         faults.write_text(json.dumps({"clock_ms": self.rng.choice((0, -3.6e6, 3.6e6))}))
         for backend in self.backends:
             backend.behaviour = "hang" if self.enabled_faults["hangs"] else backend.behaviour
@@ -328,6 +342,16 @@
             task.cancel()
         for _, writer in idle:
             writer.transport.abort()
+        if hostile is not None:
+            await hostile.wait()
+
+    async def _start_hostile_clients(self) -> asyncio.subprocess.Process:
+        """Start hostile clients that go on until SIGKILL may come."""
+        seconds = SERVING_S + min(self.deadline_s, MAX_DEADLINE_S) + KILL_GRACE_S
+        arguments = (f"--connections={HOSTILE_CONNECTIONS}", f"--seconds={seconds}", f"--seed={self.seed}")
+        return await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lab.hostile_clients", MIXED, str(self.port), *arguments, cwd=ROOT
+        )
 
     def _inject_random_faults(self, process: asyncio.subprocess.Process, faults_path: Path) -> None:
         rng = self.rng
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -195,6 +195,61 @@
         assert len(backend.seen) == 1 and not stand.engine._requests
 
 
+# Guards against requests that go unanswered, or are answered out of order, where a client sends far ahead.
+@run
+async def test_all_requests_of_a_client_that_sends_far_ahead_are_answered_in_order() -> None:
+    count = 2_000
+    responses = [OK.replace(b"waves", b"%05d" % n) for n in range(count)]
+    async with (
+        InProcessProxy(FakeBackend("a", *responses), module=ScriptedRouter("a")) as stand,
+        client(stand.port) as raw_client,
+    ):
+        raw_client.send(b"".join(get_request_bytes(f"/rpc/waveform/{n}") for n in range(count)))
+        answers = [await read_message(raw_client.reader) for _ in range(count)]
+        served = [body for line, _, body in answers if line.split()[1] == "200"]
+        refused = [fields for line, fields, _ in answers if line.split()[1] == "503"]
+        assert len(served) + len(refused) == count and len(served) >= 300
+        assert served == [b"%05d" % n for n in range(len(served))]
+        assert all("Srv-Wait-Ms" in fields for fields in refused)
+        assert stand.counters["refused.ahead"] == len(refused) == count - stand.counters["taken"]
+
+
+# Guards against a response that is lost because its connection is reset while the client is still sending.
+@run
+async def test_response_to_a_bad_request_reaches_a_client_that_is_still_sending() -> None:
+    async with InProcessProxy(*default_backends()) as stand, client(stand.port) as raw_client:
+        head = b"PUT /rpc/pick-submit/7f HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n"
+        raw_client.send(head + bytes(1_000_000))
+        assert await raw_client.read_status() == 413 and await raw_client.is_closed_by_server()
+        raw_client.send(bytes(1_000_000))
+        stand.clock.advance(800)
+        await until(lambda: not connections(stand))
+        assert stand.counters["closed.lingering"] == 1
+
+
+# Guards against one client's unread responses, or partial requests, that take the memory of all others.
+@run
+async def test_a_full_room_refuses_a_slow_partial_request_and_serves_others() -> None:
+    async with InProcessProxy(*default_backends()) as stand:
+        memory = stand.front._memory
+        memory.requests.limit_bytes = 30_000
+        async with client(stand.port) as slow, client(stand.port) as waiting:
+            half = b"PUT /rpc/pick-submit/7f HTTP/1.1\r\nHost: x\r\nReq-Id: %016x\r\nReq-Wait-Ms: 900\r\n"
+            half += b"Req-Token: 5c\r\nContent-Length: %d\r\n\r\n"
+            slow.send(half % (1, 40_000) + bytes(39_000))
+            await until(lambda: memory.requests.is_full)
+            stand.clock.advance(500)
+            waiting.send(half % (2, 20_000) + bytes(20_000))
+            await until(lambda: stand.counters["memory.requests.waits"] == 2)
+            assert (await stand.ask())[0] == 200  # a small request does not wait for memory
+            stand.clock.advance(600)
+            memory.relieve(stand.clock.now_ms())
+            assert await slow.read_status() == 503 and await slow.is_closed_by_server()
+            assert await waiting.read_status() == 200
+        await until(lambda: not connections(stand))
+        assert memory.requests.held_bytes == 0 and stand.counters["memory.requests.ended"] == 1
+
+
 @run
 @pytest.mark.parametrize(
     ("raw", "status"),
