--- a/beechslip/core/model.py
+++ b/beechslip/core/model.py
@@ -81,6 +81,7 @@
     body: bytes = b""
     etag: str = ""
     is_not_modified: bool = False  # the client's copy is current, and ``body`` is empty
+    memory: object = field(default=None, compare=False, repr=False)  # what the body is charged to while it is kept
 
 
 @dataclass(slots=True)
--- a/beechslip/memory_budget.py
+++ b/beechslip/memory_budget.py
@@ -145,6 +145,21 @@
                 self._endable.pop(charge, None)
 
 
+class HeldMemory:
+    """Keeps bytes charged that are passed on, for as long as something refers to this object."""
+
+    __slots__ = ("_charge",)
+
+    def __init__(self, room: MemoryRoom, amount: int, now_ms: float) -> None:
+        """Charge ``amount`` bytes to ``room``."""
+        self._charge = MemoryCharge(room)
+        self._charge.set(amount, now_ms)
+
+    def __del__(self) -> None:
+        """Release the bytes."""
+        self._charge.set(0, 0.0)
+
+
 class MemoryBudget:
     """Owns the memory of the process: its limit, and the rooms that the limit is divided into."""
 
--- a/beechslip/platform/backends.py
+++ b/beechslip/platform/backends.py
@@ -20,10 +20,10 @@
 from beechslip.platform.backend_messages import MAX_RESPONSE_BODY_BYTES, attempt_request_bytes, parse_backend_response
 from beechslip.platform.connection import (
     BackendConnection,
-    CompletedExchange,
     ConnectionLostError,
     NoSocketError,
     ReceivedResponse,
+    completed_exchange,
 )
 from beechslip.platform.connection_pool import ConnectionLimiter, ConnectionPool
 from beechslip.platform.responses import UnusableResponseError
@@ -168,12 +168,15 @@
         response = received.response
         target = message[: message.index(b" HTTP/")].decode("ascii")
         previous = connection.last_exchange
-        body = response.body
-        current = CompletedExchange(target, len(body), hash(body), response.fields.get("x-digest", ""))
+        current = completed_exchange(target, response)
         connection.last_exchange = current
-        if response.status != 200 or not body or previous is None or previous.target == target:
+        if response.status != 200 or not response.body or previous is None or previous.target == target:
             return False
-        return replace(current, target=previous.target) == previous
+        return (previous.body_length, previous.ends_hash, previous.digest) == (
+            current.body_length,
+            current.ends_hash,
+            current.digest,
+        )
 
     async def execute(self, attempt_request: AttemptRequest, may_start: Callable[[], bool]) -> AttemptResult:
         """Carry out an attempt; see ``AttemptExecutor``.
@@ -199,6 +202,8 @@
         )
         if result.result == "spoilt":
             self._counters.add("depot.spoilt")
+        if result.payload is not None:
+            result.payload = replace(result.payload, memory=received.memory)
         result.ended_ms = received.read_ms
         return result
 
--- a/beechslip/platform/connection.py
+++ b/beechslip/platform/connection.py
@@ -11,7 +11,7 @@
 from beechslip.clock import Clock
 from beechslip.config import Address
 from beechslip.counters import Counters
-from beechslip.memory_budget import MemoryCharge, MemoryRoom
+from beechslip.memory_budget import HeldMemory, MemoryCharge, MemoryRoom
 from beechslip.platform.responses import BackendResponse, ResponseParser, UnusableResponseError
 from beechslip.platform.sockets import LOCAL_RESOURCE_ERRORS, RetryingSocket
 
@@ -21,6 +21,7 @@
     {errno.ENETUNREACH, errno.ENETDOWN, errno.ECONNABORTED, errno.EINTR, errno.EAGAIN}
 )
 CONNECT_RETRY_S = 0.01  # delay between two attempts of one connect
+HASHED_END_BYTES = 4_096
 MIN_READ_BYTES = 2_048  # a read is this long at least, also while memory is short
 
 # A backend's name and address. Both are needed, because a new backend may take the address of one that was removed.
@@ -41,21 +42,29 @@
 
     response: BackendResponse
     read_ms: float
+    memory: HeldMemory  # of the response's body
 
 
 @dataclass(frozen=True, slots=True)
 class CompletedExchange:
-    """The target of a request with what identifies its response: length and hash of the body, and its digest.
+    """The target of a request with what identifies its response, kept to detect a second copy of it.
 
-    It is kept to detect a second copy of that response.
+    ``ends_hash`` is a hash of the first and the last ``HASHED_END_BYTES`` of the body.
     """
 
     target: str
     body_length: int
-    body_hash: int
+    ends_hash: int
     digest: str
 
 
+def completed_exchange(target: str, response: BackendResponse) -> CompletedExchange:
+    """Return what identifies the response to a request for ``target``."""
+    body = response.body
+    ends_hash = hash((body[:HASHED_END_BYTES], body[-HASHED_END_BYTES:]))
+    return CompletedExchange(target, len(body), ends_hash, response.fields.get("x-digest", ""))
+
+
 @dataclass(frozen=True, slots=True)
 class ReceivingMemory:
     """Where received bytes go: the buffer of the next read, shared by all connections, and the room for the rest."""
@@ -175,10 +184,12 @@
             self._charge.set(self._parser.held_bytes, self._clock.now_ms())
             self._pause_if_full()
             return
-        self._charge.set(0, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        memory = HeldMemory(self._memory.room, len(response.body), now_ms)
+        self._charge.set(0, now_ms)
         self._parser = None
         response_waiter, self._response_waiter = self._response_waiter, None  # an idle connection keeps no response
-        response_waiter.set_result(ReceivedResponse(response, self._clock.now_ms()))
+        response_waiter.set_result(ReceivedResponse(response, now_ms, memory))
         if not response.is_connection_reusable:
             self.abort()
 
--- a/beechslip/platform/connection_pool.py
+++ b/beechslip/platform/connection_pool.py
@@ -19,7 +19,7 @@
 # its response follow it directly. If they arrive within this time, they close the connection instead of being read as
 # the next response.
 MIN_IDLE_MS = 20.0
-READ_BUFFER_BYTES = 65_536  # also the most that is read from a connection in one step of the event loop
+READ_BUFFER_BYTES = 262_144  # also the most that is read from a connection in one step of the event loop
 
 
 class ConnectionLimiter(Protocol):
