--- a/beechslip/memory_budget.py
+++ b/beechslip/memory_budget.py
@@ -16,7 +16,7 @@
 # The part of the limit that is kept free: for the interpreter's own bookkeeping, fragments and what is copied.
 RESERVE_FRACTION = 0.1
 CONNECTION_BYTES = 5_120  # an open connection without any request: its socket, transport and state
-RESUME_BYTES = 16_384  # free bytes for which one waiting reader is resumed
+RESUME_BYTES = 16_384  # what a waiting reader needs that can't tell
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +66,13 @@
         if amount != self.amount:
             self._room.change(self, amount, now_ms)
 
+    def reserve(self, amount: int, now_ms: float) -> bool:
+        """Set the amount to what the holder is going to keep, if the room has space for it. Return whether it has."""
+        if amount - self.amount > self._room.free_bytes:
+            return False
+        self.set(amount, now_ms)
+        return True
+
     def close(self, now_ms: float) -> None:
         """Give up the bytes and the reference to the holder, which is gone."""
         self.set(0, now_ms)
@@ -84,7 +91,8 @@
         self._patience_ms = plan.patience_ms
         self._counters = counters
         self._endable: dict[MemoryCharge, None] = {}  # charges that can be ended, the oldest first
-        self._waiters: dict[Callable[[], None], None] = {}  # in the order in which they came
+        # What waiters need, in the order in which they came.
+        self._waiters: dict[Callable[[], None], int] = {}
 
     @property
     def is_full(self) -> bool:
@@ -112,21 +120,30 @@
         elif self.held_bytes > self.peak_bytes:
             self.peak_bytes = self.held_bytes
 
-    def wait(self, resume: Callable[[], None]) -> None:
-        """Call ``resume`` once, when the room has space again."""
+    def wait(self, resume: Callable[[], None], needed_bytes: int = RESUME_BYTES) -> None:
+        """Call ``resume`` once, when the room has space for ``needed_bytes`` and for those who came before."""
         self._counters.add(f"memory.{self.name}.waits")
-        self._waiters[resume] = None
+        self._waiters[resume] = min(needed_bytes, self.limit_bytes)
 
     def cancel_wait(self, resume: Callable[[], None]) -> None:
         """Forget ``resume``, whose holder has gone. No effect if it does not wait."""
         self._waiters.pop(resume, None)
 
     def _resume_waiters(self) -> None:
-        count = min(len(self._waiters), self.free_bytes // RESUME_BYTES)
-        for _ in range(count):
-            resume = next(iter(self._waiters))
+        planned_bytes = 0  # of waiters that were resumed and have not charged what they need yet
+        while self._waiters:
+            resume, needed_bytes = next(iter(self._waiters.items()))
+            free_bytes = self.free_bytes
+            if free_bytes < planned_bytes + needed_bytes:
+                return
             del self._waiters[resume]
             resume()
+            planned_bytes += max(needed_bytes - (free_bytes - self.free_bytes), 0)
+
+    @property
+    def _is_short(self) -> bool:
+        """True if the room is full, or has no space for the one that has waited longest."""
+        return self.is_full or (bool(self._waiters) and self.free_bytes < next(iter(self._waiters.values())))
 
     def relieve(self, now_ms: float) -> None:
         """End holders that keep a full room from others for too long, and resume waiters if there is space."""
@@ -134,8 +151,8 @@
         self._resume_waiters()
 
     def end_oldest(self, now_ms: float) -> None:
-        """While the room is full, end holders that have kept their bytes for too long, the oldest first."""
-        while self.is_full and self._endable:
+        """While the room is short, end holders that have kept their bytes for too long, the oldest first."""
+        while self._is_short and self._endable:
             charge = next(iter(self._endable))
             if now_ms - charge.since_ms < self._patience_ms or charge.end is None:
                 return
--- a/beechslip/platform/client_connection.py
+++ b/beechslip/platform/client_connection.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from typing import Protocol
 
 from beechslip.clock import Clock
 from beechslip.counters import Counters
-from beechslip.memory_budget import MemoryBudget, MemoryCharge
+from beechslip.memory_budget import RESUME_BYTES, MemoryBudget, MemoryCharge
 from beechslip.platform.client_requests import MAX_REQUEST_BODY_BYTES, BadRequestError
 from beechslip.platform.exchange import Exchange, RequestHandler
 from beechslip.platform.fair_turns import STEPS_PER_TURN, FairTurns
@@ -24,7 +25,6 @@
 SAME_BURST_MS = 20.0
 # A connection with input that has been unread for this long may have been closed by its client without a sign here.
 MAX_UNREAD_MS = 50.0
-HANDLED_PER_STEP = 2  # requests of a connection that are begun in one step of the event loop
 REFUSALS_PER_WRITE = 64
 JOINED_BODY_BYTES = 16_384  # bodies up to this size are written together with their heads
 # Reads are this long at least, also while memory is short, so that small requests are read at once.
@@ -77,6 +77,7 @@
         "_queue",
         "_read_delay_ms",
         "_read_size",
+        "_reserved_bytes",
         "_sends_body",
         "_sock",
         "_unread_since_ms",
@@ -116,6 +117,7 @@
         self._is_begin_scheduled = False
         self._is_waiting_for_turn = False
         self._is_waiting_for_room = False
+        self._reserved_bytes = 0  # for the body that is being received
         self._is_reading_paused = False
         self._read_size = 0  # bytes that the last read could take
         self._unread_since_ms: float | None = None  # since when input may have been unread
@@ -180,6 +182,11 @@
         """True if bytes of a response are waiting in the transport's buffer."""
         return self.raw_transport is not None and self.raw_transport.get_write_buffer_size() > 0
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """True if bytes of the client have arrived and not been read yet."""
+        return self._sock is not None and self._sock.has_unread_bytes()
+
     @property
     def has_pending_work(self) -> bool:
         """True if a request or a response on the connection is incomplete."""
@@ -198,7 +205,9 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read; see ``asyncio.BufferedProtocol``."""
         buffer = self._owner.read_buffer
-        self._read_size = max(min(self._owner.memory.requests.free_bytes // 4, len(buffer)), MIN_READ_BYTES)
+        self._read_size = len(buffer)
+        if not self._reserved_bytes:
+            self._read_size = max(min(self._owner.memory.requests.free_bytes // 4, len(buffer)), MIN_READ_BYTES)
         return buffer[: self._read_size]
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -217,7 +226,7 @@
         self._assembler.feed(data)
         if self._advance() and not self._is_waiting_for_turn:
             self._is_waiting_for_turn = True
-            self._owner.turns.add(self)
+            self._owner.turns.add(self.take_turn)
         self._update_reading()
 
     def pause_writing(self) -> None:
@@ -276,7 +285,7 @@
         return now_ms - blocked_ms
 
     def take_turn(self) -> bool:
-        """Go on with input that was more than one turn's work; see ``TurnTaker``."""
+        """Go on with input that was more than one turn's work. Return True if more work is left."""
         has_more_work = not (self._is_dropping_input or self.is_closed_by_client) and self._advance()
         if not has_more_work:
             self._is_waiting_for_turn = False
@@ -336,7 +345,9 @@
 
     def _update_charges(self) -> None:
         now_ms = self._owner.clock.now_ms()
-        self._partial_charge.set(self._assembler.held_bytes, now_ms)
+        if not self._assembler.expected_body_bytes:
+            self._reserved_bytes = 0
+        self._partial_charge.set(max(self._assembler.held_bytes, self._reserved_bytes), now_ms)
         self._whole_charge.set(self._queue.held_bytes + self._handled_bytes, now_ms)
 
     # Reading and pausing --------------------------------------------------------------------------
@@ -346,10 +357,9 @@
         transport = self.raw_transport
         if transport is None or transport.is_closing():
             return
-        room = self._owner.memory.requests
-        if self._partial_charge.amount and not self._is_waiting_for_room and room.is_full:
+        if not self._is_waiting_for_room and (needed_bytes := self._missing_room()):
             self._is_waiting_for_room = True
-            room.wait(self._room_is_free)
+            self._owner.memory.requests.wait(self._room_is_free, needed_bytes)
         pauses = (
             self._is_waiting_for_turn
             or (self._is_waiting_for_room and not self._is_dropping_input)
@@ -365,6 +375,22 @@
         else:
             transport.resume_reading()
 
+    def _missing_room(self) -> int:
+        """Return how many bytes must be free before more of a partial request is read; 0 if none.
+
+        The whole of a body is reserved before it is read, so that those that have begun can end.
+        """
+        if self._reserved_bytes:
+            return 0
+        expected_bytes = self._assembler.expected_body_bytes
+        if not expected_bytes:
+            is_held_up = self._partial_charge.amount > MIN_READ_BYTES and self._owner.memory.requests.is_full
+            return RESUME_BYTES if is_held_up else 0
+        if self._partial_charge.reserve(expected_bytes, self._owner.clock.now_ms()):
+            self._reserved_bytes = expected_bytes
+            return 0
+        return expected_bytes
+
     def _room_is_free(self) -> None:
         self._is_waiting_for_room = False
         self._update_reading()
@@ -390,20 +416,30 @@
 
     def _begin_requests(self) -> None:
         self._is_begin_scheduled = False
-        for _ in range(HANDLED_PER_STEP):
-            if not self._can_send_response():
-                return
-            if not self._queue.has_request:
-                break
-            self._begin_request(self._queue.pop())
+        if self._begin_next():
+            self._defer_begin()
+
+    def _defer_begin(self) -> None:
+        """Begin the next request, behind another of the same connection, when it is this connection's turn."""
+        if not self._is_begin_scheduled:
+            self._is_begin_scheduled = True
+            self._owner.turns.add(self._take_begin_turn)
+
+    def _take_begin_turn(self) -> bool:
+        self._is_begin_scheduled = self._begin_next()
+        return self._is_begin_scheduled
+
+    def _begin_next(self) -> bool:
+        """Begin the next request, or send what is owed behind the last one. Return True if more can be done."""
         if not self._can_send_response():
-            return
+            return False
         if self._queue.has_request:
-            self._schedule_begin()
+            self._begin_request(self._queue.pop())
         elif self._queue.refusals_owed:
             self._send_refusals()
         elif self._queue.last_response is not None:
             self._send_last_response(self._queue.last_response)
+        return bool(self._queue) and self._can_send_response()
 
     def _can_send_response(self) -> bool:
         return (
@@ -455,7 +491,7 @@
         self._update_charges()
         self._request_done()
         if self._queue:
-            self._schedule_begin()
+            self._defer_begin()
 
     def _write_response(self, response: HttpResponse) -> None:
         if self.raw_transport is None:
@@ -492,8 +528,6 @@
             self.raw_transport.write(response_head(refusal, self._owner.clock.wall_ms()) * count)
         self._charge_unsent()
         self._request_done()
-        if self.has_pending_request:
-            self._schedule_begin()
 
     def _send_last_response(self, response: HttpResponse) -> None:
         """Send the response that ends the connection, and drop what the client still sends until it closes too.
@@ -505,8 +539,9 @@
         self._sends_body = True
         self._write_response(response)
         self._request_done()
-        if self.raw_transport is not None and self.raw_transport.can_write_eof():
-            self.raw_transport.write_eof()
+        if self.raw_transport is not None:
+            with contextlib.suppress(OSError):  # the client has reset the connection
+                self.raw_transport.write_eof()
         self._update_reading()
 
     def _request_done(self) -> None:
--- a/beechslip/platform/connection.py
+++ b/beechslip/platform/connection.py
@@ -160,6 +160,8 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read; see ``asyncio.BufferedProtocol``."""
         buffer = self._memory.read_buffer
+        if self._parser is not None and self._charge.amount >= self._parser.expected_body_bytes > 0:
+            return buffer  # its memory is reserved
         return buffer[: max(min(self._memory.room.free_bytes // 4, len(buffer)), MIN_READ_BYTES)]
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -181,8 +183,7 @@
             self.abort()
             return
         if response is None:
-            self._charge.set(self._parser.held_bytes, self._clock.now_ms())
-            self._pause_if_full()
+            self._await_room(self._parser)
             return
         now_ms = self._clock.now_ms()
         memory = HeldMemory(self._memory.room, len(response.body), now_ms)
@@ -193,15 +194,22 @@
         if not response.is_connection_reusable:
             self.abort()
 
-    def _pause_if_full(self) -> None:
-        """Read no more of a response until there is memory for it."""
-        if self._memory.room.is_full and self._transport is not None:
+    def _await_room(self, parser: ResponseParser) -> None:
+        """Reserve memory for the whole of a response, or read no more of it until there is some."""
+        now_ms = self._clock.now_ms()
+        expected_bytes = max(parser.expected_body_bytes, parser.held_bytes)
+        if self._charge.amount >= expected_bytes or self._charge.reserve(expected_bytes, now_ms):
+            return
+        self._charge.set(parser.held_bytes, now_ms)
+        if self._transport is not None:
             self._transport.pause_reading()
-            self._memory.room.wait(self._resume_reading)
+            self._memory.room.wait(self._resume_reading, expected_bytes)
 
     def _resume_reading(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
+        if self._transport is None or self._transport.is_closing() or self._parser is None:
+            return
+        self._transport.resume_reading()
+        self._await_room(self._parser)
 
     def _end_response(self) -> None:
         """Give up a response that has been incomplete for too long, because its memory is needed."""
--- a/beechslip/platform/request_assembler.py
+++ b/beechslip/platform/request_assembler.py
@@ -86,6 +86,13 @@
         """True if a part of a request has been received."""
         return bool(self._buffer) or self._head is not None
 
+    @property
+    def expected_body_bytes(self) -> int:
+        """The most bytes of the body that is being received and kept; 0 if there is none."""
+        if self._head is None or self._body is None:
+            return 0
+        return MAX_REQUEST_BODY_BYTES if self._head.is_chunked else self._head.content_length
+
     @property
     def held_bytes(self) -> int:
         """The bytes that are kept of the partial request."""
--- a/beechslip/platform/responses.py
+++ b/beechslip/platform/responses.py
@@ -93,6 +93,11 @@
         del self._buffer[: self._body_size]
         return self._build_response(body)
 
+    @property
+    def expected_body_bytes(self) -> int:
+        """The most bytes of the body that is being received; 0 if the head is not complete."""
+        return self._max_body if self._chunks is not None else self._body_size
+
     @property
     def held_bytes(self) -> int:
         """The bytes that are kept of the response."""
--- a/beechslip/platform/server.py
+++ b/beechslip/platform/server.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import Callable
 
-from beechslip.clock import Clock
+from beechslip.clock import Clock, to_seconds
 from beechslip.counters import Counters
 from beechslip.memory_budget import MemoryBudget
 from beechslip.platform.client_connection import ClientConnection
@@ -50,7 +50,7 @@
         self.clock = clock
         self.counters = counters
         self.memory = memory
-        self.turns = FairTurns(_call_soon)
+        self.turns = FairTurns(clock.now_ms, _schedule)
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self._max_connections = max_connections
         self._request_read_timeout_ms = request_read_timeout_ms
@@ -108,7 +108,8 @@
 
         A connection with a pending request is never evicted. This guards against clients that keep a connection open
         indefinitely: without free descriptors, no other client can connect. A connection with a partial request is
-        evicted only if none is idle. The same holds for one with unsent bytes of a response.
+        evicted only if none is idle. The same holds for one with unsent bytes of a response, or with a request that
+        has arrived and not been read yet.
         """
         self._open_connections[connection] = None
         if len(self._open_connections) <= self._max_connections:
@@ -118,7 +119,7 @@
             (
                 candidate
                 for candidate in evictable
-                if not candidate.has_partial_request and not candidate.has_unsent_bytes
+                if not (candidate.has_partial_request or candidate.has_unsent_bytes or candidate.has_unread_bytes)
             ),
             None,
         )
@@ -152,7 +153,7 @@
                 connection.end_partial_request()
             else:
                 self._close_connection(connection, "closed.partial")
-        elif not is_partial and age_ms > IDLE_TIMEOUT_MS:
+        elif not is_partial and age_ms > IDLE_TIMEOUT_MS and (is_unread or not connection.has_unread_bytes):
             self._close_connection(connection, "closed.idle")
 
     def close_idle(self, *, unfinished: bool = False) -> None:
@@ -211,5 +212,6 @@
         return HttpResponse(error.status, closes_connection=True)
 
 
-def _call_soon(call: Callable[[], None]) -> object:
-    return asyncio.get_running_loop().call_soon(call)
+def _schedule(delay_ms: float, call: Callable[[], None]) -> object:
+    loop = asyncio.get_running_loop()
+    return loop.call_later(to_seconds(delay_ms), call) if delay_ms else loop.call_soon(call)
