Client's time runs from the arrival of a request's last byte, also if it is read late in short reads

Cause: reads may be short, and each is made in a step of its own of the event loop. A request that has arrived whole is read in many steps, and its time was taken from the last of them. No step was longer than 30 ms, so nothing counted as a stall.

Change: where a request is read in more than one read, the kernel tells how long ago it received the last bytes (TCP_INFO); that moment counts, but none before the request's first bytes were read.

--- a/beechslip/platform/client_connection.py
+++ b/beechslip/platform/client_connection.py
@@ -77,6 +77,7 @@
         "_queue",
         "_read_delay_ms",
         "_read_size",
+        "_request_begun_ms",
         "_reserved_bytes",
         "_sends_body",
         "_sock",
@@ -113,6 +114,7 @@
         self._partial_charge = MemoryCharge(owner.memory.requests, self.end_partial_request)
         self._whole_charge = MemoryCharge(owner.memory.requests)
         self._unsent_charge = MemoryCharge(owner.memory.unsent, self._end_unsent)
+        self._request_begun_ms = self.last_read_ms  # when the first bytes of the current request were received
         self._has_request_begun = False  # bytes of an unanswered request have been received
         self._is_begin_scheduled = False
         self._is_waiting_for_turn = False
@@ -262,6 +264,12 @@
 
     def _record_received_bytes(self) -> None:
         self.last_read_ms = self._earliest_arrival_ms()
+        if self._assembler.has_partial_request and self._is_kernel_state_known and self._sock is not None:
+            # Reads may be short, so that the rest of a request may have arrived long before it is read.
+            arrived_ms = self._owner.clock.now_ms() - self._sock.ms_since_last_arrival()
+            self.last_read_ms = max(min(arrived_ms, self.last_read_ms), self._request_begun_ms)
+        else:
+            self._request_begun_ms = self.last_read_ms
         self._has_request_begun = True
         if not self.is_awaiting_request and not self.is_handling_request:
             self.is_awaiting_request = True
--- a/beechslip/platform/sockets.py
+++ b/beechslip/platform/sockets.py
@@ -6,6 +6,7 @@
 import errno
 import logging
 import socket
+import struct
 import time
 from collections.abc import Callable
 from typing import Any
@@ -24,6 +25,10 @@
 # TCP states (Linux, tcp_states.h) in which the other side has not closed: ESTABLISHED, FIN_WAIT1, FIN_WAIT2.
 OPEN_TCP_STATES = frozenset({1, 4, 5})
 UNKNOWN_TCP_STATE = 0
+# The field tcpi_last_data_recv of ``struct tcp_info`` (Linux, tcp.h), in ms.
+TCP_LAST_DATA_RECEIVED = struct.Struct("=I")
+TCP_LAST_DATA_RECEIVED_OFFSET = 52
+TCP_INFO_BYTES = TCP_LAST_DATA_RECEIVED_OFFSET + TCP_LAST_DATA_RECEIVED.size
 
 
 def tcp_state(transport: asyncio.BaseTransport | None) -> int:
@@ -73,6 +78,14 @@
         except OSError as error:
             raise self._note_failed_read(error) from None
 
+    def ms_since_last_arrival(self) -> float:
+        """Return how long ago the kernel received the last bytes, read or unread, in ms; 0 if it does not tell."""
+        try:
+            info = self.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+            return float(TCP_LAST_DATA_RECEIVED.unpack_from(info, TCP_LAST_DATA_RECEIVED_OFFSET)[0])
+        except (OSError, AttributeError, struct.error):
+            return 0.0
+
     def has_unread_bytes(self) -> bool:
         """Return True if received bytes, or the end of the connection, have not been read yet."""
         try:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import Callable
 from typing import Any
 
 import pytest
 
+from beechslip.clock import SystemClock
 from beechslip.core.messages import ClientDisconnected
 from beechslip.platform.client_connection import ClientConnection
 from beechslip.platform.server import REQUEST_READ_TIMEOUT_MS
@@ -214,6 +216,33 @@
         assert stand.counters["refused.ahead"] == len(refused) == count - stand.counters["taken"]
 
 
+# Guards against a client's time that runs from when the rest of its request is read, not from when it arrived.
+@run
+async def test_the_time_of_a_request_runs_from_its_arrival_also_if_reads_are_short(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    read_size, step_s = 20, 0.02
+    original_get_buffer = ClientConnection.get_buffer
+
+    def get_small_buffer_late(connection: ClientConnection, sizehint: int) -> memoryview:
+        time.sleep(step_s)  # other work of the event loop
+        return original_get_buffer(connection, sizehint)[:read_size]
+
+    async with InProcessProxy(FakeBackend("a"), module=(plan := ScriptedRouter("a"))) as stand:
+        real_clock = SystemClock()
+        monkeypatch.setattr(stand.clock, "now_ms", real_clock.now_ms)
+        stand.front._server._last_loop_run_ms = 0.0  # of the other clock; no stall is recorded in this test
+        async with client(stand.port) as raw_client:
+            await until(lambda: connections(stand))
+            monkeypatch.setattr(ClientConnection, "get_buffer", get_small_buffer_late)
+            request = get_request_bytes(wait_ms=3000)
+            raw_client.send(request)
+            assert await raw_client.read_status() == 200
+        (event,) = [event for event in plan.received_events if isinstance(event, i.Request)]
+        reads = len(request) // read_size
+        assert event.time_left < 3.0 - (reads - 2) * step_s
+
+
 # Guards against a response that is lost because its connection is reset while the client is still sending.
 @run
 async def test_response_to_a_bad_request_reaches_a_client_that_is_still_sending() -> None:
