--- a/beechslip/platform/request_assembler.py
+++ b/beechslip/platform/request_assembler.py
@@ -18,7 +18,7 @@
 LINE_END = b"\r\n"
 HEAD_END = b"\r\n\r\n"
 STEPS_PER_HEAD = 4  # the work for a head, where that for a chunk of a body is 1
-REQUEST_OVERHEAD_BYTES = 160  # memory of a waiting request beyond its bytes
+REQUEST_OVERHEAD_BYTES = 40  # memory of a waiting request beyond its bytes
 
 
 @dataclass(slots=True)
