--- a/beechslip/platform/confine.py
+++ b/beechslip/platform/confine.py
@@ -9,8 +9,8 @@
   program or forking (``os.fork``, ``os.exec``, ``os.posix_spawn``, ``subprocess.Popen`` ...) and of opening a socket
   of a family other than IPv4 (``socket.__new__`` with ``AF_INET6``, ``AF_PACKET`` ...).
 - ``os.sendfile`` is replaced by a function that fails with ``ENOSYS``. asyncio's ``sock_sendfile`` and
-  ``socket.sendfile`` then fall back to plain sends. aiohttp is configured by ``AIOHTTP_NOSENDFILE``, which it reads
-  when it is imported, so :func:`confine` runs before that.
+  ``socket.sendfile`` then fall back to plain sends. aiohttp, which a proxy does not load, would be configured by
+  ``AIOHTTP_NOSENDFILE``, which it reads when it is imported, so :func:`confine` runs before that.
 
 Unix sockets made by ``socket.socketpair`` stay allowed: asyncio's event loop wakes itself up through one, and no
 other process can reach such a pair. An audit hook can't be removed. :func:`confine` is called once, by the proxy's
--- a/beechslip/platform/server.py
+++ b/beechslip/platform/server.py
@@ -157,12 +157,13 @@
             self._close_connection(connection, "closed.idle")
 
     def close_idle(self, *, unfinished: bool = False) -> None:
-        """Close idle connections.
+        """Close idle connections, but none whose client has sent bytes that have not been read yet.
 
         With ``unfinished``, also close those that have sent no request or only a part of one.
         """
         for connection in list(self._open_connections):
-            if not connection.has_pending_request and (unfinished or not connection.is_awaiting_request):
+            is_idle = not connection.has_pending_request and (unfinished or not connection.is_awaiting_request)
+            if is_idle and not connection.has_unread_bytes:
                 self._close_connection(connection, "closed.idle", flush=True)
 
     def any_connection(self, condition: Callable[[ClientConnection], bool]) -> bool:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -187,8 +187,7 @@
 
 @run
 async def test_disconnect_of_client_with_many_pipelined_requests_is_detected_at_once() -> None:
-    # Once aiohttp's queue of requests is full, its transport would not be read any more, and the client's end would
-    # not be detected.
+    # If a connection were not read any more once many requests wait, its client's end would not be detected.
     async with InProcessProxy(backend := GatedBackend("a"), module=ScriptedRouter("a")) as stand:
         async with client(stand.port) as raw_client:
             raw_client.send(b"".join(get_request_bytes() for _ in range(80)))
