--- a/review/6/case.py
+++ b/review/6/case.py
@@ -64,9 +64,15 @@
             hidden = (HIDDEN_READ if turn % 2 else HIDDEN_WRITE).format(id=new_id()).encode()
             id_, name = new_id(), f"bad{turn:013x}"
             sent_ids.add(id_)
-            message = request_bytes(f"/rpc/plot/{name}?slice=0", id_=id_, Content_Length=str(len(hidden))) + hidden
+            if turn % 4 < 2:
+                form, body = {"Content_Length": str(len(hidden))}, hidden
+            else:
+                form, body = {"Transfer_Encoding": "chunked"}, b"%x\r\n%b\r\n0\r\n\r\n" % (len(hidden), hidden)
+            message = request_bytes(f"/rpc/plot/{name}?slice=0", id_=id_, **form) + body
             status, _, _ = await ask(port, message)
-            case.record.note(f"bad client: GET plot/{name} id={id_} with a body of {len(hidden)} bytes: {status}")
+            case.record.note(
+                f"bad client: GET plot/{name} id={id_} with a body of {len(hidden)} bytes {form}: {status}"
+            )
 
     await asyncio.gather(*(read(client) for client in range(4)), *([misuse()] if TROUBLE else []))
     await asyncio.sleep(0.5)
