--- a/review/standins2.py
+++ b/review/standins2.py
@@ -222,6 +222,11 @@
         writer.close()
 
 
+def run_command() -> str:
+    """Return the deploy file's ``run``."""
+    return str(tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"])
+
+
 def settings(**changes: Any) -> dict[str, Any]:
     """Return the settings of a small deployment: one doorman, an edge zone, a hub zone."""
     return copy.deepcopy(SETTINGS) | changes
@@ -263,8 +268,8 @@
         self.broken.append(text)
         self.record.note(f"BROKEN: {text}")
 
-    async def start(self, command: str, name: str, **variables: str) -> Program:
-        """Start ``command`` by the shell from the project's root."""
+    async def start(self, command: str, name: str, descriptors: tuple[int, ...] = (), **variables: str) -> Program:
+        """Start ``command`` by the shell from the project's root; it inherits ``descriptors``."""
         log = self.temporary / f"{name}.log"
         environment = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
         own_folder = self.temporary / f"tmp-{name}"
@@ -276,6 +281,7 @@
                 command,
                 cwd=ROOT,
                 env=environment | {"TMPDIR": str(own_folder)} | variables,
+                pass_fds=descriptors,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
@@ -303,22 +309,20 @@
 
     async def start_doorman(self, name: str, config: Path, **variables: str) -> tuple[Program, int]:
         """Start a doorman by the deploy file's ``run``, and wait until it answers ``GET /health`` with 200."""
-        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         port = int(json.loads(config.read_text())["listen"].rpartition(":")[2])
-        program = await self.start(run, name, EDGE_CONFIG=str(config), **variables)
+        program = await self.start(run_command(), name, EDGE_CONFIG=str(config), **variables)
         await self.wait_ready(port, program)
         return program, port
 
-    async def wait_ready(self, port: int, program: Program, within_s: float = 30.0) -> None:
-        """Wait until the doorman at this port is ready. Raises RuntimeError if it is not in time."""
+    async def wait_ready(self, port: int, program: Program, within_s: float = 30.0, path: str = "/health") -> None:
+        """Wait until the doorman at this port says yes. Raises RuntimeError if it does not in time."""
         deadline = time.monotonic() + within_s
+        request = f"GET {path} HTTP/1.1\r\nHost: service.internal\r\n\r\n".encode()
         while time.monotonic() < deadline and program.process.returncode is None:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
                 client = await Client.connect(port)
                 try:
-                    status, _, _ = await asyncio.wait_for(
-                        client.send(b"GET /health HTTP/1.1\r\nHost: s\r\n\r\n"), 1.0
-                    )
+                    status, _, _ = await asyncio.wait_for(client.send(request), 1.0)
                     if status == 200:
                         return
                 finally:
