Review case 9: each object has bytes of its own, and 330 connections

Before, all objects had the same bytes and tag. Two equal answers in a row on one connection were taken for a second copy, so that sound answers were asked for again, and the memory was that of a load with repeated reads.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -24,10 +24,12 @@
     Program,
     Received,
     ServerConnection,
+    answer,
     free_port,
     hold_listening_socket,
     main,
     new_id,
+    now_ms,
     request_bytes,
     run_command,
     settings,
@@ -35,9 +37,9 @@
 
 MEMORY_MB = 64
 SOCKETS = 1024
-READERS = 140  # with the writers 280 connections, under a third of the descriptors
-WRITERS = 140
-OBJECT = bytes(range(256)) * 937 + bytes(128)  # 240,000 bytes
+READERS = 165  # with the writers 330 connections, under a third of the descriptors
+WRITERS = 165
+CONTENT = bytes(range(256)) * 937 + bytes(112)  # with the 16 bytes of a name 240,000
 WRITE = bytes(48_000)
 SLOW_S = 1.0  # between the first and the last bytes of a depot's answer, and of a client's write
 LAST = 500  # bytes that come last
@@ -49,12 +51,14 @@
 
     async def respond(self, request: Received, connection: ServerConnection) -> None:
         """Answer a read slowly, and a write at once."""
-        message = self.served(OBJECT if request.method == "GET" else b"taken")
-        if request.method == "GET":
-            connection.writer.write(message[:-LAST])
-            await asyncio.sleep(SLOW_S)
-            message = message[-LAST:]
-        connection.writer.write(message)
+        if request.method != "GET":
+            connection.writer.write(answer(200))
+            return
+        name = request.target.split("/")[3].encode()[:16].ljust(16)
+        message = answer(200, name + CONTENT, X_Digest=name.decode(), X_Stamp=str(int(now_ms())), X_Result="local")
+        connection.writer.write(message[:-LAST])
+        await asyncio.sleep(SLOW_S)
+        connection.writer.write(message[-LAST:])
 
 
 def held_mb(program: Program) -> float:
