Refuse content of reads, and frame every message that leaves in one place

Cause: nobody said which requests have a form that is served (the head's fields, the size and the class's method were checked in three places, content of a class of reads in none), and nobody framed what leaves: an attempt wrote Content-Length for writes only, and the content always.

The reader of the change log shares the rule on ambiguous lengths with that of backends' responses.

--- a/beechslip/platform/backend_messages.py
+++ b/beechslip/platform/backend_messages.py
@@ -7,6 +7,7 @@
 from urllib.parse import quote
 
 from beechslip.core.model import AttemptRequest, AttemptResult, Payload
+from beechslip.platform.message_framing import frame_request
 
 MAX_RESPONSE_BODY_BYTES = 240_000  # largest object that is accepted
 MAX_LOAD_REPORT_VALUES = 16  # values read from one load report
@@ -75,14 +76,13 @@
 
 
 def attempt_request_bytes(attempt: AttemptRequest, wait_ms: float) -> bytes:
-    """Return an attempt's request in its wire form. ``wait_ms`` is the time that the backend has."""
+    """Return an attempt's request in its wire form. ``wait_ms`` is the time that the backend has.
+
+    Raises FramingError if the request is none that a backend could read as this one alone.
+    """
     request = attempt.client_request
     fields = {"Host": attempt.backend.address} | attempt_headers(attempt, wait_ms)
-    if request.write:
-        fields["Content-Length"] = str(len(request.body))
-    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-    method = "PUT" if request.write else "GET"
-    return f"{method} {attempt_target(attempt)} HTTP/1.1\r\n{head}\r\n".encode() + request.body
+    return frame_request("PUT" if request.write else "GET", attempt_target(attempt), fields, request.body)
 
 
 def parse_load_report(text: str) -> dict[str, float]:
--- a/beechslip/platform/backends.py
+++ b/beechslip/platform/backends.py
@@ -26,6 +26,7 @@
     completed_exchange,
 )
 from beechslip.platform.connection_pool import ConnectionLimiter, ConnectionPool
+from beechslip.platform.message_framing import FramingError, frame_request
 from beechslip.platform.responses import UnusableResponseError
 from beechslip.routing.interface import Settings
 
@@ -139,10 +140,14 @@
         ``None`` means that the attempt may not start any more.
         """
         while True:
+            try:
+                message = build_message()
+            except FramingError:
+                self._pool.release(connection)
+                raise
             if not may_start():  # the client has left, or a drain or a purge has arrived since
                 self._pool.release(connection)
                 return None
-            message = build_message()
             response = connection.send_request(message, MAX_RESPONSE_BODY_BYTES)
             if response is not None:
                 return message, response
@@ -216,7 +221,7 @@
 
         ``may_start`` is called right before the first byte is written. If it returns False, the result is "moot".
         """
-        message = f"GET {self._health_check_path} HTTP/1.1\r\nHost: {backend.address}\r\n\r\n".encode()
+        message = frame_request("GET", self._health_check_path, {"Host": backend.address})
         try:
             async with asyncio.timeout(HEALTH_CHECK_TIMEOUT_MS / 1000):
                 received = await self._exchange(backend, lambda: message, may_start)
--- a/beechslip/platform/client_connection.py
+++ b/beechslip/platform/client_connection.py
@@ -10,11 +10,11 @@
 from beechslip.clock import Clock
 from beechslip.counters import Counters
 from beechslip.memory_budget import RESUME_BYTES, MemoryBudget, MemoryCharge
-from beechslip.platform.client_requests import MAX_REQUEST_BODY_BYTES, BadRequestError
 from beechslip.platform.exchange import Exchange, RequestHandler
 from beechslip.platform.fair_turns import STEPS_PER_TURN, FairTurns
-from beechslip.platform.http_messages import CONTINUE_RESPONSE, HttpResponse, response_head
+from beechslip.platform.http_messages import CONTINUE_RESPONSE, HttpResponse, response_messages
 from beechslip.platform.request_assembler import BadStreamError, RequestAssembler, WholeRequest
+from beechslip.platform.request_form import MAX_REQUEST_BODY_BYTES, BadRequestError
 from beechslip.platform.request_head import RequestHead
 from beechslip.platform.request_queue import RequestQueue
 from beechslip.platform.sockets import OPEN_TCP_STATES, RetryingSocket, tcp_state
@@ -504,8 +504,7 @@
     def _write_response(self, response: HttpResponse) -> None:
         if self.raw_transport is None:
             return
-        head = response_head(response, self._owner.clock.wall_ms())
-        body = response.body if self._sends_body else b""
+        head, body = response_messages(response, self._owner.clock.wall_ms(), is_for_head=not self._sends_body)
         if len(body) <= JOINED_BODY_BYTES:
             self.raw_transport.write(head + body)
         else:
@@ -533,7 +532,7 @@
         refusal = self._owner.handler.refusal()
         self._owner.counters.add("refused.ahead", count)
         if self.raw_transport is not None:
-            self.raw_transport.write(response_head(refusal, self._owner.clock.wall_ms()) * count)
+            self.raw_transport.write(b"".join(response_messages(refusal, self._owner.clock.wall_ms())) * count)
         self._charge_unsent()
         self._request_done()
 
--- a/beechslip/platform/client_requests.py
+++ b/beechslip/platform/client_requests.py
@@ -1,37 +1,25 @@
-"""Validate and parse clients' HTTP requests, by pure functions from heads and bodies to ``ClientRequest``."""
+"""Parse clients' HTTP requests, by pure functions from heads and bodies to ``ClientRequest``.
+
+The form of a request, which decides where it ends, is checked by ``request_form`` before.
+"""
 
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from urllib.parse import parse_qsl, unquote
 
 from beechslip.clock import to_ms
 from beechslip.core.model import ClientRequest
+from beechslip.platform.request_form import BadRequestError
 from beechslip.routing.interface import ClassRule, Settings
 
-MAX_REQUEST_BODY_BYTES = 48_000  # largest body that a write may carry
 MAX_CLIENT_WAIT_MS = 60_000.0  # the longest wait that a client may ask for; its class's deadline bounds it anyway
 MAX_OBJECT_NAME_LENGTH = 512  # characters
 MAX_GROUP_NUMBER = 255  # largest value of X-Set
 # A request whose transfer takes more than this many times the deadline of its class can't be served.
 MAX_TRANSFER_TO_DEADLINE_RATIO = 10.0
 
-# Fields that must not be repeated: those that the request needs, and those that determine where it ends.
-UNREPEATABLE_FIELDS = frozenset(
-    {
-        b"content-length",
-        b"transfer-encoding",
-        b"host",
-        b"req-id",
-        b"req-wait-ms",
-        b"req-token",
-        b"x-set",
-        b"req-kb",
-        b"if-none-match",
-    }
-)
-
 _ID = re.compile(r"[0-9a-f]{16}\Z")
 _NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?\Z")
 _INTEGER = re.compile(r"[0-9]{1,9}\Z")
@@ -39,39 +27,6 @@
 _ETAG = re.compile(r'(?:W/)?"([!#-~]{0,256})"\Z')
 
 
-class BadRequestError(Exception):
-    """A request that can't be served, with the HTTP status of its response."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        """Create an error. ``reason`` is only written to the log."""
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-
-
-def check_header_fields(fields: Iterable[tuple[bytes, bytes]]) -> None:
-    """Reject a head that two parsers could interpret differently. Raises BadRequestError.
-
-    This guards against request smuggling. If one parser uses Content-Length and the next Transfer-Encoding, what is
-    body to one is a second request to the other. The same holds for two lengths. With two ids or keys, the backend
-    might use the other one.
-    """
-    seen = set[bytes]()
-    for name, value in fields:
-        key = name.lower()
-        if key not in UNREPEATABLE_FIELDS:
-            continue
-        if key in seen:
-            raise BadRequestError(400, "a header field is repeated that may occur once")
-        seen.add(key)
-        if key == b"content-length" and not (value.isdigit() and len(value) <= 18):
-            raise BadRequestError(400, "invalid Content-Length: expected an integer of at most 18 digits")
-        if key == b"transfer-encoding" and value.strip().lower() != b"chunked":
-            raise BadRequestError(400, "invalid Transfer-Encoding: expected 'chunked'")
-    if b"content-length" in seen and b"transfer-encoding" in seen:
-        raise BadRequestError(400, "both Content-Length and Transfer-Encoding are given: expected one of them")
-
-
 def parse_client_request(
     method: str, target: str, headers: Mapping[str, str], body: bytes, arrived_ms: float, settings: Settings
 ) -> ClientRequest:
--- a/beechslip/platform/event_stream.py
+++ b/beechslip/platform/event_stream.py
@@ -8,7 +8,14 @@
 from beechslip.config import Address
 from beechslip.platform.chunked_body import ChunkedBodyDecoder, ChunkedBodyError
 from beechslip.platform.connection import connect_socket
-from beechslip.platform.responses import HEAD_END, MAX_HEAD_BYTES, UnusableResponseError, parse_response_head
+from beechslip.platform.message_framing import frame_request
+from beechslip.platform.responses import (
+    HEAD_END,
+    MAX_HEAD_BYTES,
+    UnusableResponseError,
+    body_framing,
+    parse_response_head,
+)
 from beechslip.platform.watch_events import BadEventError
 
 MAX_UNREAD_BYTES = 65_536  # received bytes that wait to be taken; beyond it the connection is not read
@@ -112,10 +119,11 @@
 
     def _begin_body(self, fields: dict[str, str]) -> None:
         self._is_in_body = True
-        if "transfer-encoding" in fields:
+        framing = body_framing(fields)
+        if framing.is_chunked:
             self._decoder = ChunkedBodyDecoder(ENDLESS, MAX_HEAD_BYTES)
-        elif (length := fields.get("content-length", "")).isdecimal():
-            self._remaining = int(length)
+        elif framing.length is not None:
+            self._remaining = framing.length
 
     def _take_plain(self) -> bytes:
         data = bytes(self._received[: self._remaining])
@@ -142,8 +150,6 @@
     except BaseException:
         sock.close()
         raise
-    stream.send(
-        f"GET /changes HTTP/1.1\r\nHost: {address}\r\nLast-Event-ID: {last_seq}\r\n"
-        "Accept: text/event-stream\r\n\r\n".encode()
-    )
+    fields = {"Host": str(address), "Last-Event-ID": str(last_seq), "Accept": "text/event-stream"}
+    stream.send(frame_request("GET", "/changes", fields))
     return stream
--- a/beechslip/platform/exchange.py
+++ b/beechslip/platform/exchange.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from beechslip.platform.client_requests import BadRequestError
 from beechslip.platform.http_messages import HttpResponse
 from beechslip.platform.request_assembler import WholeRequest
+from beechslip.platform.request_form import BadRequestError
 from beechslip.platform.request_head import RequestHead
 
 
--- a/beechslip/platform/front.py
+++ b/beechslip/platform/front.py
@@ -13,10 +13,11 @@
 from beechslip.core.model import AttemptExecutor, FinalResponse
 from beechslip.counters import Counters
 from beechslip.memory_budget import MemoryBudget, unlimited_budget
-from beechslip.platform.client_requests import BadRequestError, parse_client_request
+from beechslip.platform.client_requests import parse_client_request
 from beechslip.platform.exchange import Exchange
 from beechslip.platform.http_messages import HttpResponse, text_response
 from beechslip.platform.request_assembler import WholeRequest
+from beechslip.platform.request_form import BadRequestError
 from beechslip.platform.request_head import RequestHead
 from beechslip.platform.server import LOOP_CHECK_INTERVAL_MS, BoundedServer
 from beechslip.platform.sockets import Listener, open_listening_socket
--- a/beechslip/platform/http_messages.py
+++ b/beechslip/platform/http_messages.py
@@ -1,4 +1,4 @@
-"""Responses to clients in their wire form (RFC 9112). Pure."""
+"""Responses to clients: their fields and reasons. ``message_framing`` writes them. Pure."""
 
 from __future__ import annotations
 
@@ -7,8 +7,10 @@
 from dataclasses import dataclass, field
 from functools import lru_cache
 
-CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+from beechslip.platform.message_framing import frame_response
+
 REASON_BY_STATUS = {
+    100: "Continue",
     200: "OK",
     304: "Not Modified",
     400: "Bad Request",
@@ -21,7 +23,6 @@
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
-NOT_MODIFIED = 304
 
 
 @dataclass(slots=True)
@@ -45,15 +46,19 @@
     return time.strftime("%a, %d %b %Y %H:%M:%S GMT", time.gmtime(unix_s))
 
 
-def response_head(response: HttpResponse, wall_ms: float) -> bytes:
-    """Return the head of a response, its empty line included. ``wall_ms`` is the wall clock's time."""
-    lines = [f"HTTP/1.1 {response.status} {REASON_BY_STATUS.get(response.status, '')}"]
-    lines += [f"{name}: {value}" for name, value in response.fields.items()]
-    if response.status != NOT_MODIFIED:
-        lines.append(f"Content-Length: {len(response.body)}")
+def response_messages(response: HttpResponse, wall_ms: float, *, is_for_head: bool = False) -> tuple[bytes, bytes]:
+    """Return a response as its head and the content to be written right behind it.
+
+    ``wall_ms`` is the wall clock's time. A response to a HEAD request (``is_for_head``) is written without content.
+    """
+    fields = dict(response.fields)
     if response.content_type:
-        lines.append(f"Content-Type: {response.content_type}")
-    lines.append(f"Date: {_format_date(int(wall_ms // 1000.0))}")
+        fields["Content-Type"] = response.content_type
+    fields["Date"] = _format_date(int(wall_ms // 1000.0))
     if response.closes_connection:
-        lines.append("Connection: close")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        fields["Connection"] = "close"
+    reason = REASON_BY_STATUS.get(response.status, "")
+    return frame_response(response.status, reason, fields, response.body, is_for_head=is_for_head)
+
+
+CONTINUE_RESPONSE = frame_response(100, REASON_BY_STATUS[100], {})[0]
--- a/beechslip/platform/ops.py
+++ b/beechslip/platform/ops.py
@@ -13,10 +13,10 @@
 from beechslip.config import Address
 from beechslip.counters import Counters
 from beechslip.memory_budget import MemoryBudget, unlimited_budget
-from beechslip.platform.client_requests import BadRequestError
 from beechslip.platform.exchange import Exchange
 from beechslip.platform.http_messages import HttpResponse, text_response
 from beechslip.platform.request_assembler import WholeRequest
+from beechslip.platform.request_form import BadRequestError
 from beechslip.platform.request_head import RequestHead
 from beechslip.platform.server import BoundedServer
 from beechslip.platform.sockets import Listener, open_listening_socket
@@ -85,7 +85,7 @@
     # Calls ----------------------------------------------------------------------------------------
 
     def check_head(self, head: RequestHead) -> None:
-        """Accept a body with any call, and ignore it; see ``RequestHandler``."""
+        """Accept content of a POST, and ignore it; see ``RequestHandler``. A GET has none (``request_form``)."""
 
     def refusal(self) -> HttpResponse:
         """Return the response to a call that is refused unread; see ``RequestHandler``."""
--- a/beechslip/platform/request_assembler.py
+++ b/beechslip/platform/request_assembler.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from beechslip.platform.chunked_body import BodyTooLongError, ChunkedBodyDecoder, ChunkedBodyError
-from beechslip.platform.client_requests import MAX_REQUEST_BODY_BYTES, BadRequestError
+from beechslip.platform.request_form import MAX_REQUEST_BODY_BYTES, BadRequestError
 from beechslip.platform.request_head import RequestHead, may_have_body, parse_head
 
 MAX_HEAD_BYTES = 16_384
@@ -138,8 +138,6 @@
         if not may_have_body(raw_head):
             return WholeRequest(raw_head, None, b"", received_ms), STEPS_PER_HEAD
         head = parse_head(raw_head)
-        if head.content_length > MAX_REQUEST_BODY_BYTES:
-            raise BadRequestError(413, "the body is too long")
         if not head.has_body:
             return WholeRequest(raw_head, head, b"", received_ms), STEPS_PER_HEAD
         self._begin_body(raw_head, head, keep_body=self._keeps_body(head))
--- a/beechslip/platform/request_head.py
+++ b/beechslip/platform/request_head.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from beechslip.platform.client_requests import BadRequestError, check_header_fields
+from beechslip.platform.request_form import BadRequestError, check_content, check_header_fields
 
 MAX_FIELDS = 128
 # The names, in lower case, of the fields that frame a body.
@@ -82,7 +82,7 @@
 
 
 def parse_head(head: bytes) -> RequestHead:
-    """Parse a head, its empty line included. Raises BadRequestError."""
+    """Parse a head, its empty line included. Raises BadRequestError if it has no form that is served."""
     collector = _HeadCollector()
     parser = httptools.HttpRequestParser(collector)
     try:
@@ -101,12 +101,16 @@
     fields = collector.fields
     check_header_fields(fields)
     framing = {name.lower(): value for name, value in fields if name.lower() in (CONTENT_LENGTH, TRANSFER_ENCODING)}
+    method = parser.get_method().decode("ascii")
+    content_length = int(framing.get(CONTENT_LENGTH, b"0"))
+    is_chunked = TRANSFER_ENCODING in framing
+    check_content(method, version, content_length, is_chunked=is_chunked)
     return RequestHead(
-        parser.get_method().decode("ascii"),
+        method,
         _decode_target(collector.url),
         _used_fields(fields),
-        int(framing.get(CONTENT_LENGTH, b"0")),
-        TRANSFER_ENCODING in framing,
+        content_length,
+        is_chunked,
         parser.should_keep_alive() and version == "1.1",
     )
 
--- a/beechslip/platform/responses.py
+++ b/beechslip/platform/responses.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -50,6 +51,14 @@
     is_persistent: bool
 
 
+@dataclass(frozen=True, slots=True)
+class BodyFraming:
+    """How the end of a body is told: in bytes, by chunks, or (``None``) by the end of the connection alone."""
+
+    length: int | None
+    is_chunked: bool
+
+
 class _ParserState(Enum):
     """What the parser reads next."""
 
@@ -146,31 +155,40 @@
 
     def _parse_framing(self, status: int, fields: dict[str, str]) -> None:
         """Determine where the body ends (RFC 9112, 6.3). Bodies that only end with the connection are rejected."""
-        length = fields.get("content-length")
-        coding = fields.get("transfer-encoding")
-        if coding is not None:
-            if length is not None or coding.lower() != "chunked":
-                raise UnusableResponseError(
-                    "the end of the body is ambiguous: expected Transfer-Encoding 'chunked' alone"
-                )
+        framing = body_framing(fields)
+        if framing.is_chunked:
             self._state = _ParserState.CHUNKED_BODY
             self._chunks = ChunkedBodyDecoder(self._max_body)  # trailers are not supported
             return
-        if length is not None and (
-            not _CONTENT_LENGTH.match(length.encode("latin-1")) or int(length) > self._max_body
-        ):
-            raise UnusableResponseError("the Content-Length is invalid or too large")
+        if framing.length is not None and framing.length > self._max_body:
+            raise UnusableResponseError("the Content-Length is too large")
         self._state = _ParserState.SIZED_BODY
         if status in (204, 304):
             return
-        if length is not None:
-            self._body_size = int(length)
+        if framing.length is not None:
+            self._body_size = framing.length
         elif status == 200:
             raise UnusableResponseError("the body has no length: only the end of the connection would end it")
         else:
             self._is_persistent = False
 
 
+def body_framing(fields: Mapping[str, str]) -> BodyFraming:
+    """Return how the body of a response with these fields, in lower case, is framed.
+
+    Raises UnusableResponseError if that is ambiguous.
+    """
+    length = fields.get("content-length")
+    coding = fields.get("transfer-encoding")
+    if coding is not None and (length is not None or coding.lower() != "chunked"):
+        raise UnusableResponseError("the end of the body is ambiguous: expected Transfer-Encoding 'chunked' alone")
+    if length is None:
+        return BodyFraming(None, is_chunked=coding is not None)
+    if not _CONTENT_LENGTH.match(length.encode("latin-1")):
+        raise UnusableResponseError("the Content-Length is invalid")
+    return BodyFraming(int(length), is_chunked=False)
+
+
 def parse_response_head(raw_head: bytes) -> ResponseHead:
     """Parse a status line with its fields, without the empty line at their end. Raises UnusableResponseError."""
     first, *lines = raw_head.split(LINE_END)
--- a/beechslip/platform/server.py
+++ b/beechslip/platform/server.py
@@ -12,10 +12,10 @@
 from beechslip.counters import Counters
 from beechslip.memory_budget import MemoryBudget
 from beechslip.platform.client_connection import ClientConnection
-from beechslip.platform.client_requests import BadRequestError
 from beechslip.platform.exchange import RequestHandler
 from beechslip.platform.fair_turns import FairTurns
 from beechslip.platform.http_messages import HttpResponse
+from beechslip.platform.request_form import BadRequestError
 from beechslip.platform.sockets import RetryingSocket
 
 log = logging.getLogger("beechslip.front")
@@ -203,6 +203,8 @@
         Each one is counted. At most MAX_LOG_LINES_PER_S are logged per second.
         """
         self.counters.add("bad_request")
+        if error.counter:
+            self.counters.add(error.counter)
         now = self.clock.now_ms()
         if now - self._log_window_ms >= 1000.0:
             self._log_window_ms = now
--- a/tests/test_parse.py
+++ b/tests/test_parse.py
@@ -12,7 +12,8 @@
 from beechslip.core.model import AttemptRequest, AttemptResult, Backend, ClientRequest, Payload
 from beechslip.platform import watch_events
 from beechslip.platform.backend_messages import attempt_headers, attempt_target, parse_backend_response
-from beechslip.platform.client_requests import BadRequestError, check_header_fields, parse_client_request
+from beechslip.platform.client_requests import parse_client_request
+from beechslip.platform.request_form import BadRequestError, check_header_fields
 from beechslip.platform.responses import BackendResponse, ResponseParser, UnusableResponseError
 from beechslip.platform.watch_events import (
     BadEventError,
--- a/tests/test_request_assembler.py
+++ b/tests/test_request_assembler.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from beechslip.platform.client_requests import MAX_REQUEST_BODY_BYTES, BadRequestError
 from beechslip.platform.request_assembler import (
     MAX_HEAD_BYTES,
     MAX_TRAILER_BYTES,
@@ -12,6 +11,7 @@
     RequestAssembler,
     WholeRequest,
 )
+from beechslip.platform.request_form import MAX_REQUEST_BODY_BYTES, BadRequestError
 from beechslip.platform.request_head import RequestHead, parse_head
 
 MANY_STEPS = 1 << 20
