Run the plays of hostile clients after all other tests, two at a time

Its bounds are in real time, each play needs a core for the proxy and more for its clients, and seven other workers beside it take them.

Change: tests marked as a lane are ordered last and hold the lane's file lock for themselves; every other test shares the locks of all lanes. So the plays run in two lanes, beside no other test. Plays, bounds, seeds and ids are as they were.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 
 from beechslip.store import Store, open_store
 from tests.known_red import KnownFailure, read_known_failures, without_xdist_group
+from tests.machine_share import hold_share, lane_of, order_lanes_last
 from tests.pg_stand import FakePostgresServer
 
 
@@ -23,6 +24,14 @@
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     mark_known_failures(items, read_known_failures())
+    order_lanes_last(items)
+
+
+@pytest.fixture(autouse=True)
+def machine_share(request: pytest.FixtureRequest) -> Iterator[None]:
+    """Keep tests with limits in real time apart from all others."""
+    with hold_share(lane_of(request.node)):
+        yield
 
 
 @pytest.fixture(params=["sqlite", "postgresql"])
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -12,6 +12,7 @@
 from lab.hostile_clients import KINDS, MIXED, put_request
 from lab.hostile_play import HostilePlay, peak_resident_mb, run_play
 from lab.stand import fetch, run
+from tests.machine_share import lane_marks
 
 LEAST_MEMORY_MB = 48
 OTHER_LIMITS_MB = (192, 96, 64)
@@ -20,15 +21,15 @@
 BOUND_COUNTERS = {"memory.requests.ended", "refused.ahead", "refused.unread", "closed.partial", "closed.memory"}
 SOUND_CLIENTS = 341  # a third of the descriptors
 PLAY_S = 3.0
+PLAYS = [*((kind, LEAST_MEMORY_MB) for kind in [*KINDS, MIXED]), *((MIXED, limit) for limit in OTHER_LIMITS_MB)]
 MAX_LATENCY_S = 0.5  # the 99th percentile of the sound clients' requests
 MAX_RETAINED_MB = 8.0  # above idle, once the hostile clients have been gone for four seconds
 
 
 # Guards against a process that passes its memory limit, or starves sound clients, under hundreds of hostile clients.
-@pytest.mark.xdist_group("hostile-clients")  # one at a time, because its limits are in real time
 @pytest.mark.parametrize(
     ("play", "memory_mb"),
-    [*((kind, LEAST_MEMORY_MB) for kind in [*KINDS, MIXED]), *((MIXED, limit) for limit in OTHER_LIMITS_MB)],
+    [pytest.param(*play, marks=lane_marks(number)) for number, play in enumerate(PLAYS)],  # each needs a core
 )
 def test_hostile_clients_exhaust_neither_memory_nor_time(tmp_path: Path, play: str, memory_mb: int) -> None:
     found = run_play(tmp_path, play, memory_mb, CONNECTIONS, PLAY_S)
