Keep all processes of an upgrade to one limit on memory and descriptors

Cause: nobody owned what both may hold. Each process divided the whole limits among its parts, neither knew of the other, and the old one gave nothing back after SIGTERM.

Change: the processes state claims of private memory and descriptors as record locks on the inherited socket (claim_table.py); shared_limits.py decides, pure, who may claim what; resource_share.py keeps the memory budget's total and the new descriptor budget to the claim. One alone leaves what a successor needs to start; the old one gives back from SIGTERM on; the new one takes what is given back, and its readers wait, refuse and end nobody for it.

--- a/beechslip/memory_budget.py
+++ b/beechslip/memory_budget.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -24,7 +25,8 @@
     """What a room may hold.
 
     ``share`` is its part of the available memory, ``least_bytes`` its limit at least, and ``most_bytes`` at most.
-    ``patience_ms`` is how long a holder may keep its bytes while the room is full.
+    ``patience_ms`` is how long a holder may keep its bytes while the room is full. ``waits`` if its readers can wait
+    for memory that other rooms hold.
     """
 
     name: str
@@ -32,12 +34,13 @@
     least_bytes: int
     patience_ms: float
     most_bytes: int = 1 << 40
+    waits: bool = False
 
 
 # Requests that clients have sent in part or whole, until they are answered.
-REQUESTS = RoomPlan("requests", 0.3, 512 * 1024, 1_000.0)
+REQUESTS = RoomPlan("requests", 0.3, 512 * 1024, 1_000.0, waits=True)
 # Responses of backends that are being received.
-RESPONSES = RoomPlan("responses", 0.35, 512 * 1024, 1_000.0)
+RESPONSES = RoomPlan("responses", 0.35, 512 * 1024, 1_000.0, waits=True)
 # Responses that clients have not read yet.
 UNSENT = RoomPlan("unsent", 0.15, 256 * 1024, 0.0)
 # Events of the change log that are being received.
@@ -46,6 +49,29 @@
 SENT_REQUESTS = RoomPlan("sent_requests", 0.05, 256 * 1024, 0.0)
 
 
+class MemoryTotal:
+    """What all rooms hold together, and may hold. Only rooms whose readers can wait stop at the limit."""
+
+    def __init__(self) -> None:
+        """Create a total without a limit."""
+        self.held_bytes = 0
+        self.limit_bytes = sys.maxsize
+        self.rooms: list[MemoryRoom] = []
+
+    @property
+    def free_bytes(self) -> int:
+        """The bytes below the limit; negative above it."""
+        return self.limit_bytes - self.held_bytes
+
+    def resume_waiters(self, released: MemoryRoom | None = None) -> None:
+        """Resume those who wait for memory, because ``released`` has given some back or the limit has changed."""
+        if released is not None:
+            released.resume_waiters()
+        for room in self.rooms:
+            if room is not released:
+                room.resume_waiters()
+
+
 class MemoryCharge:
     """The bytes that one holder keeps in a room. The holder sets the amount, and sets it to 0 when it is done."""
 
@@ -82,9 +108,15 @@
 class MemoryRoom:
     """A part of the memory budget. Its limit may be exceeded by what has been read already."""
 
-    def __init__(self, plan: RoomPlan, limit_bytes: int, counters: Counters) -> None:
-        """Create an empty room."""
+    def __init__(
+        self, plan: RoomPlan, limit_bytes: int, counters: Counters, total: MemoryTotal | None = None
+    ) -> None:
+        """Create an empty room, whose bytes count to ``total``."""
         self.name = plan.name
+        self._total = total or MemoryTotal()
+        self._total.rooms.append(self)
+        self._waits = plan.waits
+        self._least_bytes = plan.least_bytes
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
         self.peak_bytes = 0
@@ -97,12 +129,15 @@
     @property
     def is_full(self) -> bool:
         """True if no more bytes should be read."""
-        return self.held_bytes >= self.limit_bytes
+        return not self.free_bytes
 
     @property
     def free_bytes(self) -> int:
-        """The bytes that the room may still take."""
-        return max(self.limit_bytes - self.held_bytes, 0)
+        """The bytes that the room may still take: below its own limit, and below the total or its least size."""
+        own_bytes = self.limit_bytes - self.held_bytes
+        if self._waits:
+            own_bytes = min(own_bytes, max(self._total.free_bytes, self._least_bytes - self.held_bytes))
+        return max(own_bytes, 0)
 
     def change(self, charge: MemoryCharge, amount: int, now_ms: float) -> None:
         """Set the amount of a charge; holders use ``MemoryCharge.set``."""
@@ -114,22 +149,24 @@
             self._endable.pop(charge, None)
         grows = amount > charge.amount
         self.held_bytes += amount - charge.amount
+        self._total.held_bytes += amount - charge.amount
         charge.amount = amount
         if not grows:
-            self._resume_waiters()
+            self._total.resume_waiters(self)
         elif self.held_bytes > self.peak_bytes:
             self.peak_bytes = self.held_bytes
 
     def wait(self, resume: Callable[[], None], needed_bytes: int = RESUME_BYTES) -> None:
         """Call ``resume`` once, when the room has space for ``needed_bytes`` and for those who came before."""
         self._counters.add(f"memory.{self.name}.waits")
-        self._waiters[resume] = min(needed_bytes, self.limit_bytes)
+        self._waiters[resume] = min(needed_bytes, self._least_bytes or self.limit_bytes)
 
     def cancel_wait(self, resume: Callable[[], None]) -> None:
         """Forget ``resume``, whose holder has gone. No effect if it does not wait."""
         self._waiters.pop(resume, None)
 
-    def _resume_waiters(self) -> None:
+    def resume_waiters(self) -> None:
+        """Resume those who wait, in the order in which they came, as far as there is space."""
         planned_bytes = 0  # of waiters that were resumed and have not charged what they need yet
         while self._waiters:
             resume, needed_bytes = next(iter(self._waiters.items()))
@@ -142,13 +179,14 @@
 
     @property
     def _is_short(self) -> bool:
-        """True if the room is full, or has no space for the one that has waited longest."""
-        return self.is_full or (bool(self._waiters) and self.free_bytes < next(iter(self._waiters.values())))
+        """True if the room is at its own limit, or has no space below it for the one that has waited longest."""
+        own_bytes = self.limit_bytes - self.held_bytes
+        return own_bytes <= 0 or (bool(self._waiters) and own_bytes < next(iter(self._waiters.values())))
 
     def relieve(self, now_ms: float) -> None:
         """End holders that keep a full room from others for too long, and resume waiters if there is space."""
         self.end_oldest(now_ms)
-        self._resume_waiters()
+        self.resume_waiters()
 
     def end_oldest(self, now_ms: float) -> None:
         """While the room is short, end holders that have kept their bytes for too long, the oldest first."""
@@ -190,6 +228,7 @@
         reserved = int(self.limit_bytes * RESERVE_FRACTION) + max_connections * CONNECTION_BYTES
         self.available_bytes = max(self.limit_bytes - floor_bytes - reserved, 0)
         self._counters = counters
+        self.total = MemoryTotal()
         self.requests = self._create_room(REQUESTS)
         self.responses = self._create_room(RESPONSES)
         self.unsent = self._create_room(UNSENT)
@@ -199,7 +238,12 @@
 
     def _create_room(self, plan: RoomPlan) -> MemoryRoom:
         limit_bytes = max(int(self.available_bytes * plan.share), plan.least_bytes)
-        return MemoryRoom(plan, min(limit_bytes, plan.most_bytes), self._counters)
+        return MemoryRoom(plan, min(limit_bytes, plan.most_bytes), self._counters, self.total)
+
+    def set_total_limit(self, limit_bytes: int) -> None:
+        """Set what all rooms may hold together: less than their limits in sum while other processes need the rest."""
+        self.total.limit_bytes = limit_bytes
+        self.total.resume_waiters()
 
     def relieve(self, now_ms: float) -> None:
         """Relieve all rooms; to be called regularly."""
@@ -208,10 +252,13 @@
 
     def describe(self) -> str:
         """Return the rooms with what they hold, held at most, and may hold, in KB, for the log."""
-        return " ".join(
+        rooms = " ".join(
             f"{room.name}={room.held_bytes >> 10}/{room.peak_bytes >> 10}/{room.limit_bytes >> 10}"
             for room in self.rooms
         )
+        if self.total.limit_bytes == sys.maxsize:
+            return rooms
+        return f"{rooms} total={self.total.held_bytes >> 10}/{self.total.limit_bytes >> 10}"
 
 
 def unlimited_budget(counters: Counters) -> MemoryBudget:
--- a/beechslip/platform/backends.py
+++ b/beechslip/platform/backends.py
@@ -16,6 +16,7 @@
 from beechslip.config import ConfigError
 from beechslip.core.model import AttemptRequest, AttemptResult, Backend
 from beechslip.counters import Counters
+from beechslip.descriptor_budget import DescriptorBudget
 from beechslip.memory_budget import MemoryBudget, unlimited_budget
 from beechslip.platform.backend_messages import MAX_RESPONSE_BODY_BYTES, attempt_request_bytes, parse_backend_response
 from beechslip.platform.connection import (
@@ -47,21 +48,21 @@
     def __init__(
         self,
         settings: Settings,
-        sockets: int,
+        descriptors: DescriptorBudget,
         clock: Clock,
         counters: Counters,
         memory: MemoryBudget | None = None,
     ) -> None:
-        """Create a client. Its pool uses a part of ``sockets``, the descriptors that the process may use.
+        """Create a client. ``descriptors`` bounds the connections of its pool.
 
         Without ``memory`` its responses are not limited in sum.
         """
         room = (memory or unlimited_budget(counters)).responses
         self._counters = counters
         self._clock = clock
-        # Clients may use half of the descriptors. Three eighths for backends leave the rest for everything else.
-        max_connections = max(sockets * 3 // 8, 1)
-        self._pool = ConnectionPool(clock, counters, room, max_connections, IDLE_TIMEOUT_MS, DIAL_TIMEOUT_MS)
+        self._pool = ConnectionPool(
+            clock, counters, room, lambda: descriptors.backends, IDLE_TIMEOUT_MS, DIAL_TIMEOUT_MS
+        )
         self.retune(settings)
 
     def retune(self, settings: Settings) -> None:
@@ -79,6 +80,19 @@
         self._pool.limiter = limiter
         return self._pool.close_excess_idle
 
+    @property
+    def connection_count(self) -> int:
+        """The number of connections whose descriptors are in use."""
+        return self._pool.connection_count
+
+    def bound_changed(self) -> None:
+        """Use connections that the bound permits now."""
+        self._pool.bound_changed()
+
+    def stop_keeping_idle(self) -> None:
+        """Close connections once they carry no request, because the next process needs their descriptors."""
+        self._pool.stop_keeping_idle()
+
     async def close(self) -> None:
         """Close all connections."""
         self._pool.close()
--- a/beechslip/platform/connection_pool.py
+++ b/beechslip/platform/connection_pool.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from beechslip.clock import Clock
@@ -45,11 +45,11 @@
         clock: Clock,
         counters: Counters,
         room: MemoryRoom,
-        max_connections: int,
+        max_connections: Callable[[], int],
         idle_timeout_ms: float,
         dial_timeout_ms: float,
     ) -> None:
-        """Create an empty pool, whose connections receive responses into ``room``.
+        """Create an empty pool, whose connections receive responses into ``room``, with a bound that may change.
 
         Connections that were idle for more than ``idle_timeout_ms`` are not used again. A dial may take
         ``dial_timeout_ms``.
@@ -61,6 +61,7 @@
         self._counters = counters
         self._memory = ReceivingMemory(memoryview(bytearray(READ_BUFFER_BYTES)), room)
         self._max_connections = max_connections
+        self._keeps_idle = True
         self._connections: set[BackendConnection] = set()
         self._dials_in_progress = 0
         # By backend, with the connection that has been idle for longest first.
@@ -139,7 +140,26 @@
         return None
 
     def _is_full(self) -> bool:
-        return len(self._connections) + self._dials_in_progress >= self._max_connections
+        return self.connection_count >= self._max_connections()
+
+    @property
+    def connection_count(self) -> int:
+        """The number of connections whose descriptors are in use, with those that are being dialled."""
+        return len(self._connections) + self._dials_in_progress
+
+    def bound_changed(self) -> None:
+        """Wake callers for the places that the bound permits now, or end idle connections above it."""
+        excess = self.connection_count - self._max_connections()
+        while excess > 0 and self._evict_idle():
+            excess -= 1
+        for _ in range(min(-excess, len(self._pool_waiters))):
+            self._wake_first(self._pool_waiters)
+
+    def stop_keeping_idle(self) -> None:
+        """Close idle connections, and from now on each one when its request is over."""
+        self._keeps_idle = False
+        while self._evict_idle():
+            pass
 
     def _evict_idle(self) -> bool:
         """Close the connection, to any backend, that has been idle for longest. Return False if none is idle."""
@@ -182,7 +202,7 @@
 
         It becomes idle, or is closed if it can't carry another request.
         """
-        if not connection.is_open or not self._is_listed(connection.key):
+        if not connection.is_open or not self._keeps_idle or not self._is_listed(connection.key):
             connection.abort()
             return
         connection.idle_since_ms = self._clock.now_ms()
@@ -225,14 +245,19 @@
         the pool.
         """
         for queue in (self._limiter_waiters.get(backend), self._pool_waiters):
-            while queue:
-                place = queue.popleft()
-                if not place.done():
-                    place.set_result(None)
-                    break
+            if queue:
+                self._wake_first(queue)
         if backend in self._limiter_waiters and not self._limiter_waiters[backend]:
             del self._limiter_waiters[backend]
 
+    @staticmethod
+    def _wake_first(queue: deque[asyncio.Future[None]]) -> None:
+        while queue:
+            place = queue.popleft()
+            if not place.done():
+                place.set_result(None)
+                return
+
     def close(self) -> None:
         """Close all connections. Waiting callers are not woken; their own cancellation ends them."""
         for connection in list(self._connections):
--- a/beechslip/platform/front.py
+++ b/beechslip/platform/front.py
@@ -12,6 +12,7 @@
 from beechslip.core.messages import ClientDisconnected, RequestReceived
 from beechslip.core.model import AttemptExecutor, FinalResponse
 from beechslip.counters import Counters
+from beechslip.descriptor_budget import DescriptorBudget
 from beechslip.memory_budget import MemoryBudget, unlimited_budget
 from beechslip.platform.client_requests import parse_client_request
 from beechslip.platform.exchange import Exchange
@@ -79,12 +80,12 @@
         executor: AttemptExecutor,
         post: Callable[[object], None],
         counters: Counters,
-        sockets: int = 1024,
+        descriptors: DescriptorBudget,
         memory: MemoryBudget | None = None,
     ) -> None:
         """Create a front that does not listen yet.
 
-        ``post`` passes messages to the engine. ``sockets`` is the number of descriptors that the process may use.
+        ``post`` passes messages to the engine. ``descriptors`` bounds the clients' connections.
         Without ``memory`` what the clients send and leave unread is not limited in sum.
         """
         self._memory = memory or unlimited_budget(counters)
@@ -100,9 +101,10 @@
         self._has_stopped_accepting = False
         self._diverting_since_ms: float | None = None
         self.port = 0
+        self._descriptors = descriptors
         # Normal clients need at most a third of the descriptors. Connections that others hold beyond that are closed
         # in time.
-        self._server = BoundedServer(self, clock, counters, self._memory, max(sockets // 2, 1))
+        self._server = BoundedServer(self, clock, counters, self._memory, lambda: descriptors.clients)
 
     @property
     def ready(self) -> bool:
@@ -118,11 +120,24 @@
         sock = await open_listening_socket(listen, LISTEN_BACKLOG) if fd is None else socket.socket(fileno=fd)
         if fd is not None:
             sock.listen(LISTEN_BACKLOG)
-        self._listener = Listener(sock, self._server.create_connection, self._counters)
+        self._listener = Listener(
+            sock, self._server.create_connection, self._counters, self._may_accept, is_inherited=fd is not None
+        )
         self.port = self._listener.port
         self._close_expired_connections()
         self._record_loop_run()
 
+    def _may_accept(self) -> bool:
+        """False while other processes of this proxy hold what a further connection needs: it waits in the kernel."""
+        if not self._descriptors.is_restricted:
+            return True
+        return self._server.has_place(self._listener.starting_count if self._listener is not None else 0)
+
+    @property
+    def connection_count(self) -> int:
+        """The number of clients' connections whose descriptors are in use."""
+        return self._server.connection_count
+
     def divert_clients(self) -> None:
         """Tell clients to leave because an operator drains this proxy: /health returns 503 until ``readmit_clients``.
 
--- a/beechslip/platform/ops.py
+++ b/beechslip/platform/ops.py
@@ -64,7 +64,12 @@
         self._clock = clock
         self._counters = counters
         self._server = BoundedServer(
-            self, clock, counters, memory or unlimited_budget(counters), MAX_CONNECTIONS, REQUEST_READ_TIMEOUT_MS
+            self,
+            clock,
+            counters,
+            memory or unlimited_budget(counters),
+            lambda: MAX_CONNECTIONS,
+            REQUEST_READ_TIMEOUT_MS,
         )
         self._call_tasks: set[asyncio.Task[None]] = set()
         self._listener: Listener | None = None
--- a/beechslip/platform/server.py
+++ b/beechslip/platform/server.py
@@ -25,6 +25,7 @@
 # be closed within 6 s.
 REQUEST_READ_TIMEOUT_MS = 2_200.0
 IDLE_TIMEOUT_MS = 5_000.0  # after a response; clients close after 4 s, but some never close
+REQUEST_GRACE_MS = 500.0  # for the first byte of a request, before an idle connection is ended for another one
 LINGER_TIMEOUT_MS = 500.0  # after the last response, for what the client was still sending
 LOOP_CHECK_INTERVAL_MS = 25.0  # interval at which the event loop records that it runs
 STALL_THRESHOLD_MS = 25.0  # a record that is late by more than this indicates a stall
@@ -42,10 +43,13 @@
         clock: Clock,
         counters: Counters,
         memory: MemoryBudget,
-        max_connections: int,
+        max_connections: Callable[[], int],
         request_read_timeout_ms: float = REQUEST_READ_TIMEOUT_MS,
     ) -> None:
-        """Create a server for ``handler``. A client may take ``request_read_timeout_ms`` to send a request."""
+        """Create a server for ``handler``, with a bound on its connections that may change.
+
+        A client may take ``request_read_timeout_ms`` to send a request.
+        """
         self.handler = handler
         self.clock = clock
         self.counters = counters
@@ -112,18 +116,32 @@
         has arrived and not been read yet.
         """
         self._open_connections[connection] = None
-        if len(self._open_connections) <= self._max_connections:
+        if len(self._open_connections) <= self._max_connections():
             return
-        evictable = [candidate for candidate in self._open_connections if not candidate.has_pending_request]
-        idle = next(
-            (
-                candidate
-                for candidate in evictable
-                if not (candidate.has_partial_request or candidate.has_unsent_bytes or candidate.has_unread_bytes)
-            ),
-            None,
-        )
-        self._close_connection(idle or next(iter(evictable), connection), "closed.room")
+        evictable = (candidate for candidate in self._open_connections if not candidate.has_pending_request)
+        self._close_connection(self._longest_idle() or next(evictable, connection), "closed.room")
+
+    @property
+    def connection_count(self) -> int:
+        """The number of connections whose descriptors are in use."""
+        return len(self._open_connections) + len(self._closing_connections)
+
+    def has_place(self, starting_count: int) -> bool:
+        """True if a connection can be accepted, and ends none but one that a client has left idle.
+
+        ``starting_count`` connections have been accepted and not been added yet.
+        """
+        if self.connection_count + starting_count < self._max_connections():
+            return True
+        idle = self._longest_idle()
+        # The next request of a client that has just connected, or has just been answered, may be on its way.
+        return not starting_count and idle is not None and self._idle_ms(idle) > REQUEST_GRACE_MS
+
+    def _idle_ms(self, connection: ClientConnection) -> float:
+        return self.clock.now_ms() - connection.state_since_ms
+
+    def _longest_idle(self) -> ClientConnection | None:
+        return next((connection for connection in self._open_connections if _is_idle(connection)), None)
 
     def connection_state_changed(self, connection: ClientConnection) -> None:
         """Move a connection to the end of the order by state, because it has just become idle or begun a request."""
@@ -215,6 +233,16 @@
         return HttpResponse(error.status, closes_connection=True)
 
 
+def _is_idle(connection: ClientConnection) -> bool:
+    """True if nothing that the connection's client has sent or is to receive would be lost by its end."""
+    return not (
+        connection.has_pending_request
+        or connection.has_partial_request
+        or connection.has_unsent_bytes
+        or connection.has_unread_bytes
+    )
+
+
 def _schedule(delay_ms: float, call: Callable[[], None]) -> object:
     loop = asyncio.get_running_loop()
     return loop.call_later(to_seconds(delay_ms), call) if delay_ms else loop.call_soon(call)
--- a/beechslip/platform/sockets.py
+++ b/beechslip/platform/sockets.py
@@ -136,8 +136,18 @@
         sock: socket.socket,
         create_protocol: Callable[[RetryingSocket], asyncio.BaseProtocol],
         counters: Counters,
+        may_accept: Callable[[], bool] = lambda: True,
+        *,
+        is_inherited: bool = False,
     ) -> None:
-        """Start to accept connections from ``sock``, which is already listening, on the running event loop."""
+        """Start to accept connections from ``sock``, which is already listening, on the running event loop.
+
+        Connections wait in the kernel while ``may_accept`` returns False. An inherited socket is never closed: that
+        would drop the locks that this process has on it (``claim_table``).
+        """
+        self._may_accept = may_accept
+        self._is_inherited = is_inherited
+        self._is_closed = False
         self._sock = sock
         self._create_protocol = create_protocol
         self._counters = counters
@@ -157,6 +167,9 @@
 
     def _accept_one(self) -> bool:
         """Accept one connection. Return True if more may be waiting."""
+        if not self._may_accept():
+            self._pause_accepting()
+            return False
         try:
             accepted, _ = self._sock.accept()
         except (BlockingIOError, InterruptedError):
@@ -194,9 +207,14 @@
         self._loop.add_reader(self._sock, self._accept_batch)
         self._accept_batch()
 
+    @property
+    def starting_count(self) -> int:
+        """The number of accepted connections whose protocols have not been created yet."""
+        return len(self._start_tasks)
+
     async def accept_all(self) -> None:
         """Accept all connections that are waiting in the kernel now, and start their protocols."""
-        while self._sock.fileno() >= 0 and self._accept_one():
+        while not self._is_closed and self._accept_one():
             pass
         if self._start_tasks:
             await asyncio.wait(set(self._start_tasks))
@@ -208,6 +226,11 @@
         """
         if self._retry_timer is not None:
             self._retry_timer.cancel()
-        if self._sock.fileno() >= 0:
-            self._loop.remove_reader(self._sock)
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._loop.remove_reader(self._sock)
+        if self._is_inherited:
+            self._sock.detach()
+        else:
             self._sock.close()
--- a/beechslip/proxy.py
+++ b/beechslip/proxy.py
@@ -11,22 +11,25 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from beechslip.clock import Clock, ScheduledCall, SystemClock
+from beechslip.clock import Clock, ScheduledCall, SystemClock, to_ms
 from beechslip.config import RECORD_FILE, Config, ConfigError, read_if_enabled
 from beechslip.core.engine import Engine
 from beechslip.core.messages import EndpointListUpdate, PurgeReceived, SettingsChanged
 from beechslip.counters import Counters
+from beechslip.descriptor_budget import DescriptorBudget
 from beechslip.fleet.settings import read_fleet, refuse_old_settings_file
 from beechslip.memory_budget import MemoryBudget
 from beechslip.platform.backends import BackendClient
 from beechslip.platform.changelog import ChangeLogReader
+from beechslip.platform.claim_table import ClaimTable
 from beechslip.platform.front import HttpFront
 from beechslip.platform.ops import OpsFront
 from beechslip.platform.process_memory import HeapTrimmer, resident_bytes
 from beechslip.platform.watch_events import parse_known_events
 from beechslip.reload import ConfigReloader, fleet_file_path
+from beechslip.resource_share import ResourceShare, SharedResources
 from beechslip.routing import Router
-from beechslip.shutdown import shut_down
+from beechslip.shutdown import kill_delay_s, shut_down
 
 if TYPE_CHECKING:
     # Imported at run time only if the operators' files turn these features on, because they need protobuf,
@@ -70,12 +73,14 @@
         self.clock = clock or SystemClock()
         self.counters = Counters()
         floor_bytes = resident_bytes()
-        max_connections = config.max_sockets * 7 // 8  # a half for clients and three eighths to backends
+        self.descriptors = DescriptorBudget(config.max_sockets)
+        max_connections = self.descriptors.clients + self.descriptors.backends
         self.memory = MemoryBudget(config.memory_mb, floor_bytes, max_connections, self.counters)
         self._heap_trimmer = HeapTrimmer(floor_bytes)
         self.stopping = asyncio.Event()
         self._memory_alarm: ScheduledCall | None = None
         self._reloader = ConfigReloader(config, self.clock, self.counters)
+        self._share: ResourceShare | None = None  # None if no other process of this proxy can run
 
     def reload(self, environ: Mapping[str, str] | None = None) -> None:
         """Read the configuration file again; see ``ConfigReloader.reload``."""
@@ -83,7 +88,8 @@
 
     def log_counters(self) -> None:
         """Log what the parts of the memory budget hold, and the counters."""
-        log.info("memory resident_kb=%d %s", resident_bytes() >> 10, self.memory.describe())
+        share = f" {self._share.describe()}" if self._share is not None else ""
+        log.info("memory resident_kb=%d %s%s", resident_bytes() >> 10, self.memory.describe(), share)
         log.info("%s", self.counters.format_line())
 
     async def run(self) -> None:
@@ -97,6 +103,7 @@
         async with AsyncExitStack() as stack:
             tasks = [asyncio.create_task(parts.engine.run())]
             self._register_cleanup(stack, parts, tasks)
+            self._start_share(stack, parts)
             await self._start_parts(parts, initial_updates, tasks)
             if not await self._wait_for_endpoints(parts.engine, tasks):
                 return
@@ -107,7 +114,7 @@
     def _build_parts(self) -> ProxyParts:
         config = self.config
         settings = config.settings
-        client = BackendClient(settings, config.max_sockets, self.clock, self.counters, self.memory)
+        client = BackendClient(settings, self.descriptors, self.clock, self.counters, self.memory)
         sent_request_log = self._open_sent_request_log()
         refuse_old_settings_file(os.environ)
 
@@ -126,7 +133,7 @@
             sent_request_log,
             self.memory.sent_requests.limit_bytes,
         )
-        front = HttpFront(settings, self.clock, client, engine.post, self.counters, config.max_sockets, self.memory)
+        front = HttpFront(settings, self.clock, client, engine.post, self.counters, self.descriptors, self.memory)
         ops = self._build_ops(front, peering)
         dns = self._build_dns(engine, front)
         return ProxyParts(client, engine, front, ops, dns, peering, sent_request_log)
@@ -220,6 +227,23 @@
 
     # Running --------------------------------------------------------------------------------------
 
+    def _start_share(self, stack: AsyncExitStack, parts: ProxyParts) -> None:
+        """Keep to this process's share of the limits, if other processes of this proxy may run beside it."""
+        if self.config.listening_fd is None:
+            return
+        client, front = parts.client, parts.front
+        resources = SharedResources(
+            self.memory,
+            self.descriptors,
+            lambda: front.connection_count + client.connection_count,
+            client.bound_changed,
+        )
+        predecessor_ms = to_ms(kill_delay_s(self._reloader.settings))
+        table = ClaimTable(self.config.listening_fd)
+        self._share = ResourceShare(table, resources, self.config.memory_mb, self.clock, predecessor_ms)
+        stack.callback(self._share.close)
+        self._share.start()
+
     def _register_cleanup(self, stack: AsyncExitStack, parts: ProxyParts, tasks: list[asyncio.Task[None]]) -> None:
         """Register the closing of all parts.
 
@@ -305,6 +329,8 @@
             await parts.peering.budgets.ready()
         await front.start(config.listen, config.listening_fd)
         self._relieve_memory()
+        if self._share is not None:
+            self._share.begin_serving()
         log.info(
             "%s, process %d, listens on %s; %d proxies, longest deadline %g s",
             config.name,
@@ -317,6 +343,9 @@
         log.info("%s, process %d, is shutting down", config.name, os.getpid())
         if config.listening_fd is not None:
             front.stop_accepting()
+        parts.client.stop_keeping_idle()
+        if self._share is not None:
+            self._share.begin_stopping()
         await shut_down(engine, front, self._reloader.settings)
         log.info("%s, process %d, has answered all requests, and exits", config.name, os.getpid())
 
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -146,6 +146,29 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def upgrades(
+    seeds: Annotated[int, typer.Option(min=1, max=10_000)] = 50,
+    first: Annotated[int, typer.Option(min=0)] = 1,
+    workers: Annotated[int, typer.Option(min=1, max=4)] = 2,
+) -> None:
+    """Run seeded upgrades of real processes, with their sums checked. Exits with 1 at a violation."""
+    from lab import upgrade_soak
+
+    failed = 0
+    served = 0
+    chosen = range(first, first + seeds)
+    with ProcessPoolExecutor(workers) as pool:
+        for seed, findings in zip(chosen, pool.map(upgrade_soak.run_upgrade_soak, chosen), strict=True):
+            failed += bool(findings.violations)
+            served += findings.served
+            for text in findings.violations:
+                console.print(f"seed {seed}: {text}; {findings.plan}", markup=False, soft_wrap=True, highlight=False)
+    console.print(f"{seeds} seeds from {first}, {served} requests served, {failed} seeds with a violation")
+    if failed:
+        raise typer.Exit(1)
+
+
 @app.command()
 def hostile(
     plays: Annotated[list[str] | None, typer.Argument(help="Kinds of hostile clients; all by default.")] = None,
--- a/lab/faults/sitecustomize.py
+++ b/lab/faults/sitecustomize.py
@@ -6,6 +6,7 @@
 - ``clock_ms``: the step of the wall clock (the monotonic clocks are not changed);
 - ``accept``, ``connect``, ``socket``, ``recv``, ``send``, ``open``: ``{"errno": NAME, "for_ms": SPAN}``, the call
   fails with that error for that time after the file was read;
+- ``lockf``: the same, for record locks;
 - ``connect_ms``: the delay of new connections;
 - ``short``: the maximum number of bytes of a read or write.
 """
@@ -15,6 +16,7 @@
 import asyncio.selector_events
 import builtins
 import errno
+import fcntl
 import io
 import json
 import os
@@ -110,6 +112,7 @@
     socket_class.send = _short_send
     loop_class: Any = asyncio.selector_events.BaseSelectorEventLoop
     loop_class.sock_connect = _slow_sock_connect
+    fcntl.lockf = _with_failures("lockf", fcntl.lockf)
     signal.signal(signal.SIGUSR2, _read_faults)
     _read_faults()
 
--- a/lab/stand.py
+++ b/lab/stand.py
@@ -16,6 +16,7 @@
 from beechslip.core.messages import EndpointListUpdate
 from beechslip.core.model import Backend
 from beechslip.counters import Counters
+from beechslip.descriptor_budget import DescriptorBudget
 from beechslip.platform.backends import BackendClient
 from beechslip.platform.front import HttpFront
 from beechslip.routing import Router
@@ -207,11 +208,12 @@
         """Start the backends, the engine and the HTTP front."""
         self._servers = listening(*self.backends)
         await self._servers.__aenter__()
-        self.client = BackendClient(self.settings, self.sockets, self.clock, self.counters)
+        descriptors = DescriptorBudget(self.sockets)
+        self.client = BackendClient(self.settings, descriptors, self.clock, self.counters)
         self.engine = Engine(self.settings, self.module, self.clock, self.client, self.counters)
         self.engine.handle_message(EndpointListUpdate("all", tuple(backend.entry() for backend in self.backends)))
         self._task = asyncio.create_task(self.engine.run())
-        self.front = HttpFront(self.settings, self.clock, self.client, self.engine.post, self.counters, self.sockets)
+        self.front = HttpFront(self.settings, self.clock, self.client, self.engine.post, self.counters, descriptors)
         await self.front.start(Address("127.0.0.1", 0))
         self.port = self.front.port
         return self
--- a/lab/upgrade_play.py
+++ b/lab/upgrade_play.py
@@ -51,6 +51,7 @@
 READY_TIMEOUT_S = 30.0
 KILL_AFTER_S = 3.7  # after SIGTERM: the longest deadline, counted as at most 3 s, and 0.7 s
 KILLED_WHILE_LOADING_S = 0.25
+NO_LOCKS_MS = 1e9
 UNHEARD_LOG = "127.0.0.1:9"  # an address at which no change log answers
 
 Successor = Literal["ready", "never ready", "killed"]
@@ -72,8 +73,9 @@
     successor: Successor = "ready"
     successor_memory_mb: int = 0  # the limit in the configuration file from the upgrade on; 0: the same
     reloads: bool = False  # SIGHUP with other settings to all processes during the upgrade
+    has_locks: bool = True  # whether the platform's socket takes record locks
     stops: bool = False  # SIGTERM without a successor at the end
-    listed_backends: int = 0  # further backends in the list, which get few requests
+    listed_backends: int = 0  # further backends in the list, which drain
     serving_s: float = 4.0  # before the first upgrade
     work_s: float = 1.0  # between the first and the last bytes of an object and of a write
     seed: int = 1
@@ -208,7 +210,8 @@
         settings["caps"]["mostHeld"] = 20_000
         entries = [endpoint_entry(backend) for backend in backends]
         for number in range(self.plan.listed_backends):
-            entries.append({**entries[0], "name": f"more-{number}", "address": f"127.0.0.1:{9 + number % 1_000}"})
+            extra = {"name": f"more-{number}", "address": f"127.0.0.1:{9 + number % 1_000}", "status": "leaving"}
+            entries.append(entries[0] | extra)
         self._config = {
             "name": "n1",
             "listen": f"127.0.0.1:{self._port}",
@@ -247,6 +250,7 @@
             await asyncio.sleep(KILL_AFTER_S)
         self.result.over_s = time.monotonic() - began_s
         self.result.usage.after_mb = sum(process.memory_mb() for process in self._processes)
+        current.send(signal.SIGUSR1)  # logs its counters
         self._has_ended.set()
         await _cancel([*clients, sampling])
         if hostile is not None:
@@ -302,6 +306,10 @@
             "EDGE_FD": str(self._listener.fileno()),
             "EDGE_OPS": f"127.0.0.1:{ops_port}",
         }
+        if not self.plan.has_locks:
+            faults = self._folder / "faults.json"
+            faults.write_text(json.dumps({"lockf": {"errno": "ENOLCK", "for_ms": NO_LOCKS_MS}}))
+            env |= {"LAB_FAULTS": str(faults), "PYTHONPATH": str(ROOT / "lab" / "faults")}
         with (self._folder / f"log-{len(self._processes)}").open("wb") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -360,7 +368,7 @@
 
     async def _use(self, *, writes: bool, is_slow: bool = False) -> None:
         kind = "write" if writes else "slow read" if is_slow else "read"
-        await asyncio.sleep(self._rng.uniform(0.0, 0.05))
+        await asyncio.sleep(self._rng.uniform(0.0, self.plan.work_s))
         streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         while not self._has_ended.is_set():
             try:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -41,7 +41,7 @@
         server = stand.front._server
 
         def evict(_: ClientConnection) -> None:
-            server._max_connections = 1
+            server._max_connections = lambda: 1
             server.admit(connections(stand)[-1])
 
         actions: dict[str, Callable[[ClientConnection], object]] = {
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -27,6 +27,7 @@
 from beechslip.core.messages import EndpointListUpdate, RequestReceived, SettingsChanged
 from beechslip.core.model import ClientRequest, FinalResponse
 from beechslip.counters import Counters
+from beechslip.descriptor_budget import DescriptorBudget
 from beechslip.platform.backends import BackendClient
 from beechslip.platform.front import HttpFront
 from beechslip.proxy import Proxy
@@ -241,7 +242,7 @@
     async with listening(restarted, warm):
         proxies = []
         for n in range(count):
-            client = BackendClient(settings, 90, clock, Counters())
+            client = BackendClient(settings, DescriptorBudget(90), clock, Counters())
             engine = Engine(settings, Router(settings, n), clock, client, Counters())
             engine.handle_message(EndpointListUpdate("all", (restarted.entry(), warm.entry())))
             proxies.append((engine, client, asyncio.create_task(engine.run())))
--- a/tests/test_unexpected_content.py
+++ b/tests/test_unexpected_content.py
@@ -14,6 +14,7 @@
 from beechslip.config import Address
 from beechslip.core.model import AttemptRequest, ClientRequest
 from beechslip.counters import Counters
+from beechslip.descriptor_budget import DescriptorBudget
 from beechslip.memory_budget import unlimited_budget
 from beechslip.platform.backends import BackendClient
 from beechslip.platform.connection_pool import MIN_IDLE_MS
@@ -110,7 +111,7 @@
 async def execute(backend: FakeBackend, request: ClientRequest, count: int = 1) -> tuple[list[Any], Counters]:
     """Send a request ``count`` times to one backend with a real client; return the results and the counters."""
     counters, clock = Counters(), ManualClock()
-    backend_client = BackendClient(read_settings(SETTINGS), 8, clock, counters)
+    backend_client = BackendClient(read_settings(SETTINGS), DescriptorBudget(8), clock, counters)
     results = list[Any]()
     try:
         for number in range(count):
