--- a/beechslip/proxy.py
+++ b/beechslip/proxy.py
@@ -27,7 +27,7 @@
 from beechslip.platform.process_memory import HeapTrimmer, resident_bytes
 from beechslip.platform.watch_events import parse_known_events
 from beechslip.reload import ConfigReloader, fleet_file_path
-from beechslip.resource_share import ResourceShare, SharedResources
+from beechslip.resource_allowance import BoundedResources, ResourceAllowance
 from beechslip.routing import Router
 from beechslip.shutdown import kill_delay_s, shut_down
 
@@ -80,7 +80,7 @@
         self.stopping = asyncio.Event()
         self._memory_alarm: ScheduledCall | None = None
         self._reloader = ConfigReloader(config, self.clock, self.counters)
-        self._share: ResourceShare | None = None  # None if no other process of this proxy can run
+        self._allowance: ResourceAllowance | None = None  # None if no other process of this proxy can run
 
     def reload(self, environ: Mapping[str, str] | None = None) -> None:
         """Read the configuration file again; see ``ConfigReloader.reload``."""
@@ -88,8 +88,8 @@
 
     def log_counters(self) -> None:
         """Log what the parts of the memory budget hold, and the counters."""
-        share = f" {self._share.describe()}" if self._share is not None else ""
-        log.info("memory resident_kb=%d %s%s", resident_bytes() >> 10, self.memory.describe(), share)
+        allowance = f" {self._allowance.describe()}" if self._allowance is not None else ""
+        log.info("memory resident_kb=%d %s%s", resident_bytes() >> 10, self.memory.describe(), allowance)
         log.info("%s", self.counters.format_line())
 
     async def run(self) -> None:
@@ -103,7 +103,7 @@
         async with AsyncExitStack() as stack:
             tasks = [asyncio.create_task(parts.engine.run())]
             self._register_cleanup(stack, parts, tasks)
-            self._start_share(stack, parts)
+            self._start_allowance(stack, parts)
             await self._start_parts(parts, initial_updates, tasks)
             if not await self._wait_for_endpoints(parts.engine, tasks):
                 return
@@ -227,12 +227,12 @@
 
     # Running --------------------------------------------------------------------------------------
 
-    def _start_share(self, stack: AsyncExitStack, parts: ProxyParts) -> None:
-        """Keep to this process's share of the limits, if other processes of this proxy may run beside it."""
+    def _start_allowance(self, stack: AsyncExitStack, parts: ProxyParts) -> None:
+        """Keep to this process's allowance, if other processes of this proxy may run beside it."""
         if self.config.listening_fd is None:
             return
         client, front = parts.client, parts.front
-        resources = SharedResources(
+        resources = BoundedResources(
             self.memory,
             self.descriptors,
             lambda: front.connection_count + client.connection_count,
@@ -240,9 +240,9 @@
         )
         predecessor_ms = to_ms(kill_delay_s(self._reloader.settings))
         table = ClaimTable(self.config.listening_fd)
-        self._share = ResourceShare(table, resources, self.config.memory_mb, self.clock, predecessor_ms)
-        stack.callback(self._share.close)
-        self._share.start()
+        self._allowance = ResourceAllowance(table, resources, self.config.memory_mb, self.clock, predecessor_ms)
+        stack.callback(self._allowance.close)
+        self._allowance.start()
 
     def _register_cleanup(self, stack: AsyncExitStack, parts: ProxyParts, tasks: list[asyncio.Task[None]]) -> None:
         """Register the closing of all parts.
@@ -329,8 +329,8 @@
             await parts.peering.budgets.ready()
         await front.start(config.listen, config.listening_fd)
         self._relieve_memory()
-        if self._share is not None:
-            self._share.begin_serving()
+        if self._allowance is not None:
+            self._allowance.begin_serving()
         log.info(
             "%s, process %d, listens on %s; %d proxies, longest deadline %g s",
             config.name,
@@ -343,9 +343,9 @@
         log.info("%s, process %d, is shutting down", config.name, os.getpid())
         if config.listening_fd is not None:
             front.stop_accepting()
-        parts.client.stop_keeping_idle()
-        if self._share is not None:
-            self._share.begin_stopping()
+            parts.client.stop_keeping_idle()
+        if self._allowance is not None:
+            self._allowance.begin_stopping()
         await shut_down(engine, front, self._reloader.settings)
         log.info("%s, process %d, has answered all requests, and exits", config.name, os.getpid())
 
--- a/beechslip/resource_share.py
+++ b/beechslip/resource_allowance.py
@@ -1,6 +1,6 @@
 """This process's part of the limits that hold for all processes of its proxy: states it, and keeps to it.
 
-Owns the process's claim. Without an inherited socket there can be no other process, and there is no share to keep.
+Owns the process's claim. Without an inherited socket no other process can run, and there is no allowance to keep.
 """
 
 from __future__ import annotations
@@ -16,15 +16,15 @@
 from beechslip.platform.process_memory import private_bytes, shared_bytes, trim_heap
 from beechslip.shared_limits import Limits, Phase, assumed_predecessor, chargeable_bytes, next_claim
 
-log = logging.getLogger("beechslip.share")
+log = logging.getLogger("beechslip.allowance")
 
 ALONE_INTERVAL_MS = 250.0  # between updates while no other process is known
 SHARED_INTERVAL_MS = 25.0  # between updates while there are others, or this one is to end
 
 
 @dataclass(frozen=True, slots=True)
-class SharedResources:
-    """What a share bounds, and how much of it is in use. ``changed`` is called when the bounds have changed."""
+class BoundedResources:
+    """What an allowance bounds, and how much of it is in use. ``changed`` is called when the bounds have changed."""
 
     memory: MemoryBudget
     descriptors: DescriptorBudget
@@ -32,13 +32,13 @@
     changed: Callable[[], None]
 
 
-class ResourceShare:
+class ResourceAllowance:
     """Keeps this process to its claim, from before it serves until it ends."""
 
     def __init__(
-        self, table: ClaimTable, resources: SharedResources, memory_mb: float, clock: Clock, predecessor_ms: float
+        self, table: ClaimTable, resources: BoundedResources, memory_mb: float, clock: Clock, predecessor_ms: float
     ) -> None:
-        """Create the share of a process that starts.
+        """Create the allowance of a process that starts.
 
         If the table can't be used, a predecessor is taken to be there for ``predecessor_ms`` from when this process
         serves, and to hold less and less.
--- a/lab/stand.py
+++ b/lab/stand.py
@@ -196,7 +196,7 @@
 
     def __init__(self, *backends: FakeBackend, module: Any = None, sockets: int = 90) -> None:
         """Use ``module`` as the routing module; by default a :class:`Router` with the default settings."""
-        self.sockets = sockets
+        self.descriptors = DescriptorBudget(sockets)
         self.backends = backends
         self.settings = read_settings(SETTINGS)
         self.clock = ManualClock()
@@ -208,12 +208,13 @@
         """Start the backends, the engine and the HTTP front."""
         self._servers = listening(*self.backends)
         await self._servers.__aenter__()
-        descriptors = DescriptorBudget(self.sockets)
-        self.client = BackendClient(self.settings, descriptors, self.clock, self.counters)
+        self.client = BackendClient(self.settings, self.descriptors, self.clock, self.counters)
         self.engine = Engine(self.settings, self.module, self.clock, self.client, self.counters)
         self.engine.handle_message(EndpointListUpdate("all", tuple(backend.entry() for backend in self.backends)))
         self._task = asyncio.create_task(self.engine.run())
-        self.front = HttpFront(self.settings, self.clock, self.client, self.engine.post, self.counters, descriptors)
+        self.front = HttpFront(
+            self.settings, self.clock, self.client, self.engine.post, self.counters, self.descriptors
+        )
         await self.front.start(Address("127.0.0.1", 0))
         self.port = self.front.port
         return self
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,8 +8,8 @@
 import pytest
 
 from beechslip.store import Store, open_store
+from tests.exclusive_lanes import hold_lane, lane_of, order_lanes_last
 from tests.known_red import KnownFailure, read_known_failures, without_xdist_group
-from tests.machine_share import hold_share, lane_of, order_lanes_last
 from tests.pg_stand import FakePostgresServer
 
 
@@ -28,9 +28,9 @@
 
 
 @pytest.fixture(autouse=True)
-def machine_share(request: pytest.FixtureRequest) -> Iterator[None]:
+def exclusive_lane(request: pytest.FixtureRequest) -> Iterator[None]:
     """Keep tests with limits in real time apart from all others."""
-    with hold_share(lane_of(request.node)):
+    with hold_lane(lane_of(request.node)):
         yield
 
 
--- a/tests/machine_share.py
+++ b/tests/exclusive_lanes.py
@@ -38,7 +38,7 @@
 
 
 @contextlib.contextmanager
-def hold_share(lane: int | None, run_id: str | None = os.environ.get(RUN_VARIABLE)) -> Iterator[None]:
+def hold_lane(lane: int | None, run_id: str | None = os.environ.get(RUN_VARIABLE)) -> Iterator[None]:
     """Wait until a test of this lane, or one of none, may run, and keep others away within the block."""
     if run_id is None:
         yield
--- a/tests/test_machine_share.py
+++ b/tests/test_exclusive_lanes.py
@@ -7,14 +7,14 @@
 
 import pytest
 
-from tests.machine_share import hold_share
+from tests.exclusive_lanes import hold_lane
 
 
 def is_kept_waiting(lane: int | None, run_id: str) -> bool:
     entered = threading.Event()
 
     def enter() -> None:
-        with hold_share(lane, run_id):
+        with hold_lane(lane, run_id):
             entered.set()
 
     threading.Thread(target=enter, daemon=True).start()
@@ -28,6 +28,6 @@
     holder: int | None, other: int | None, waits: bool
 ) -> None:
     run_id = uuid.uuid4().hex
-    with hold_share(holder, run_id):
+    with hold_lane(holder, run_id):
         assert is_kept_waiting(other, run_id) == waits
     assert not is_kept_waiting(other, run_id)
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -12,7 +12,7 @@
 from lab.hostile_clients import KINDS, MIXED, put_request
 from lab.hostile_play import HostilePlay, peak_resident_mb, run_play
 from lab.stand import fetch, run
-from tests.machine_share import lane_marks
+from tests.exclusive_lanes import lane_marks
 
 LEAST_MEMORY_MB = 48
 OTHER_LIMITS_MB = (192, 96, 64)
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -13,14 +13,14 @@
 
 import pytest
 
-from beechslip import resource_share
+from beechslip import resource_allowance
 from beechslip.clock import ManualClock
 from beechslip.counters import Counters
 from beechslip.descriptor_budget import OWN_DESCRIPTORS, DescriptorBudget
 from beechslip.memory_budget import BYTES_PER_MB, MemoryBudget, MemoryCharge
 from beechslip.platform.claim_table import Claim, ClaimTable, ClaimTableError
 from beechslip.platform.sockets import Listener
-from beechslip.resource_share import ResourceShare, SharedResources
+from beechslip.resource_allowance import BoundedResources, ResourceAllowance
 from beechslip.shared_limits import Limits, Phase, assumed_predecessor, chargeable_bytes, next_claim
 from lab.stand import run
 
@@ -226,21 +226,21 @@
             other.kill()
 
 
-# This process's share -----------------------------------------------------------------------------
+# This process's allowance --------------------------------------------------------------------------
 
 
-class ShareStand:
-    """A share with a clock that the test sets, and with measures of memory that the test sets."""
+class AllowanceStand:
+    """An allowance with a clock that the test sets, and with measures of memory that the test sets."""
 
     def __init__(self, fd: int, monkeypatch: pytest.MonkeyPatch) -> None:
         self.private_mb, self.connections, self.trims = 15.0, 0, 0
-        monkeypatch.setattr(resource_share, "private_bytes", lambda: int(self.private_mb * MB))
-        monkeypatch.setattr(resource_share, "shared_bytes", lambda: 6 * MB)
-        monkeypatch.setattr(resource_share, "trim_heap", self._trim)
+        monkeypatch.setattr(resource_allowance, "private_bytes", lambda: int(self.private_mb * MB))
+        monkeypatch.setattr(resource_allowance, "shared_bytes", lambda: 6 * MB)
+        monkeypatch.setattr(resource_allowance, "trim_heap", self._trim)
         self.clock, counters = ManualClock(), Counters()
         self.memory, self.descriptors = MemoryBudget(64, 21 * MB, 896, counters), DescriptorBudget(1_024)
-        resources = SharedResources(self.memory, self.descriptors, lambda: self.connections, lambda: None)
-        self.share = ResourceShare(ClaimTable(fd), resources, 64.0, self.clock, 3_700.0)
+        resources = BoundedResources(self.memory, self.descriptors, lambda: self.connections, lambda: None)
+        self.allowance = ResourceAllowance(ClaimTable(fd), resources, 64.0, self.clock, 3_700.0)
 
     def _trim(self) -> None:
         self.trims += 1
@@ -250,69 +250,69 @@
         return self.memory.total.limit_bytes / MB
 
 
-def test_a_share_grows_as_its_predecessor_gives_back(
+def test_an_allowance_grows_as_its_predecessor_gives_back(
     listener: socket.socket, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     predecessor = OtherProcess(listener.fileno())
-    stand = ShareStand(listener.fileno(), monkeypatch)
+    stand = AllowanceStand(listener.fileno(), monkeypatch)
     try:
         predecessor.state(41)
-        stand.share.start()
+        stand.allowance.start()
         assert stand.total_mb < 2 and stand.descriptors.is_restricted
-        stand.share.begin_serving()
+        stand.allowance.begin_serving()
         assert stand.total_mb < 2
         predecessor.state(20)
         stand.clock.advance(25)
         assert 4 < stand.total_mb < 5 and not stand.descriptors.is_restricted
-        assert "others=some" in stand.share.describe()
+        assert "others=some" in stand.allowance.describe()
     finally:
         predecessor.kill()
     stand.clock.advance(25)
-    assert 20 < stand.total_mb < 21 and "others=none" in stand.share.describe()
-    stand.share.close()
+    assert 20 < stand.total_mb < 21 and "others=none" in stand.allowance.describe()
+    stand.allowance.close()
 
 
-def test_a_share_that_stops_trims_the_heap_and_states_what_it_holds(
+def test_an_allowance_that_stops_trims_the_heap_and_states_what_it_holds(
     listener: socket.socket, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    stand = ShareStand(listener.fileno(), monkeypatch)
-    stand.share.start()
-    stand.share.begin_serving()
+    stand = AllowanceStand(listener.fileno(), monkeypatch)
+    stand.allowance.start()
+    stand.allowance.begin_serving()
     successor = OtherProcess(listener.fileno())
     try:
         assert successor.state(17) == 41
         stand.private_mb, stand.connections, trims = 30.0, 300, stand.trims
-        stand.share.begin_stopping()
+        stand.allowance.begin_stopping()
         assert successor.state(17) == 30
         stand.private_mb, stand.connections = 20.0, 40
         stand.clock.advance(25)
         assert successor.state(17) == 20 and stand.trims == trims + 2
     finally:
         successor.kill()
-        stand.share.close()
+        stand.allowance.close()
 
 
 # Guards against a platform whose sockets take no locks: then a predecessor may be there for as long as it may live.
-def test_a_share_without_a_table_takes_the_whole_once_a_predecessor_must_have_ended(
+def test_an_allowance_without_a_table_takes_the_whole_once_a_predecessor_must_have_ended(
     listener: socket.socket, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     def fail(*_: object) -> None:
         raise OSError(errno.ENOSYS, "not implemented")
 
     monkeypatch.setattr(fcntl, "lockf", fail)
-    stand = ShareStand(listener.fileno(), monkeypatch)
-    stand.share.start()
-    stand.share.begin_serving()
-    assert stand.total_mb < 2 and "others=unknown" in stand.share.describe()
+    stand = AllowanceStand(listener.fileno(), monkeypatch)
+    stand.allowance.start()
+    stand.allowance.begin_serving()
+    assert stand.total_mb < 2 and "others=unknown" in stand.allowance.describe()
     stand.clock.advance(2_500)
     assert 5 < stand.total_mb < 15
     stand.clock.advance(1_300)
     assert 20 < stand.total_mb < 21
-    stand.share.begin_stopping()
+    stand.allowance.begin_stopping()
     stand.private_mb = 16.0
     stand.clock.advance(25)
     assert stand.total_mb < 2
-    stand.share.close()
+    stand.allowance.close()
 
 
 def test_a_table_that_another_process_changes_is_tried_again(
@@ -323,13 +323,13 @@
 
     with monkeypatch.context() as patch:
         patch.setattr(fcntl, "lockf", is_busy)
-        stand = ShareStand(listener.fileno(), monkeypatch)
-        stand.share.start()
-        stand.share.begin_serving()
+        stand = AllowanceStand(listener.fileno(), monkeypatch)
+        stand.allowance.start()
+        stand.allowance.begin_serving()
         assert stand.total_mb < 2
         with pytest.raises(ClaimTableError) as caught:
             ClaimTable(listener.fileno()).join(LEAST)
         assert caught.value.is_busy
     stand.clock.advance(250)
     assert 20 < stand.total_mb < 21
-    stand.share.close()
+    stand.allowance.close()
